--- a/adapters/h2o/event_loop.h
+++ b/adapters/h2o/event_loop.h
@@ -2,7 +2,7 @@
 
 #include "adapters/system_clock.h"
 #include "core/clock.h"
-#include "daemon/mailbox.h"
+#include "core/mailbox.h"
 
 #include <atomic>
 #include <cstdint>
@@ -57,6 +57,7 @@
 
     auto native() -> st_h2o_evloop_t* { return loop_; }
     auto now() const -> time_point { return clock_.now(); }
+    auto time() const -> const clock& { return clock_; }
 
 private:
     struct wakeup;
--- /dev/null
+++ b/adapters/h2o/tcp_stream.cpp
@@ -0,0 +1,240 @@
+#include "adapters/h2o/tcp_stream.h"
+
+#include "adapters/h2o/connector.h"
+#include "adapters/h2o/socket_address.h"
+
+#include <h2o.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <utility>
+
+namespace cornelswitch {
+
+namespace {
+
+/// Probes that may stay unanswered before the kernel gives a connection up.
+constexpr int keepalive_probes = 2;
+constexpr int keepalive_interval_s = 1;
+
+auto set_option(int fd, int level, int name, int value) -> void
+{
+    // Options are hints; a kernel that lacks one still carries the connection.
+    (void)setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+auto apply(int fd, const stream_options& options) -> void
+{
+    disable_send_delay(fd);
+    if (options.unacknowledged_timeout.count() > 0) {
+        set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   static_cast<int>(options.unacknowledged_timeout.count()));
+    }
+    if (options.keepalive_idle.count() > 0) {
+        set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+        set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(options.keepalive_idle.count()));
+        set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+        set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+    }
+}
+
+} // namespace
+
+struct tcp_stream::state : std::enable_shared_from_this<tcp_stream::state> {
+    h2o_socket_t* socket{nullptr};
+    handlers receivers;
+    std::string writing;
+    std::string pending;
+    bool is_write_active{false};
+    bool closes_after_write{false};
+
+    auto flush() -> void
+    {
+        if (socket == nullptr || is_write_active || pending.empty()) {
+            return;
+        }
+        writing.swap(pending);
+        pending.clear();
+        is_write_active = true;
+        h2o_iovec_t buf = h2o_iovec_init(writing.data(), writing.size());
+        h2o_socket_write(socket, &buf, 1, on_written);
+    }
+
+    auto close_socket() -> void
+    {
+        if (auto* it = std::exchange(socket, nullptr)) {
+            it->data = nullptr;
+            h2o_socket_read_stop(it);
+            h2o_socket_close(it);
+        }
+    }
+
+    auto end(stream_end reason) -> void
+    {
+        close_socket();
+        // Moved out, so that the handler may destroy the stream and no second end is reported.
+        auto handler = std::move(receivers.on_end);
+        receivers = {};
+        if (handler) {
+            handler(reason);
+        }
+    }
+
+    static auto on_written(h2o_socket_t* socket, const char* err) -> void
+    {
+        if (socket->data == nullptr) {
+            return;
+        }
+        auto self = static_cast<state*>(socket->data)->shared_from_this();
+        self->is_write_active = false;
+        self->writing.clear();
+        if (err != nullptr) {
+            self->end(stream_end::failed);
+            return;
+        }
+        if (!self->pending.empty()) {
+            self->flush();
+            return;
+        }
+        self->writing.shrink_to_fit();
+        if (self->closes_after_write) {
+            self->close_socket();
+            self->receivers = {};
+            return;
+        }
+        if (self->receivers.on_drained) {
+            auto handler = self->receivers.on_drained;
+            handler();
+        }
+    }
+
+    static auto on_readable(h2o_socket_t* socket, const char* err) -> void
+    {
+        if (socket->data == nullptr) {
+            return;
+        }
+        auto self = static_cast<state*>(socket->data)->shared_from_this();
+        if (socket->input->size != 0) {
+            std::string_view bytes{socket->input->bytes, socket->input->size};
+            if (self->receivers.on_data) {
+                // Copied, because the handler may drop the receivers by closing the stream.
+                auto handler = self->receivers.on_data;
+                handler(bytes);
+            }
+            if (self->socket != nullptr) {
+                // Disposed instead of consumed, so that idle connections hold no buffer.
+                h2o_buffer_dispose(&self->socket->input);
+                h2o_buffer_init(&self->socket->input, &h2o_socket_buffer_prototype);
+            }
+        }
+        if (err != nullptr && self->socket != nullptr) {
+            bool is_orderly = err == h2o_socket_error_closed;
+            self->end(is_orderly ? stream_end::closed : stream_end::failed);
+        }
+    }
+};
+
+tcp_stream::tcp_stream(st_h2o_socket_t* socket, const stream_options& options)
+    : state_{std::make_shared<state>()}
+{
+    state_->socket = socket;
+    socket->data = state_.get();
+    apply(h2o_socket_get_fd(socket), options);
+}
+
+tcp_stream::~tcp_stream()
+{
+    state_->receivers = {};
+    if (!state_->closes_after_write) {
+        state_->close_socket();
+        return;
+    }
+    if (state_->socket == nullptr) {
+        return;
+    }
+    // The last bytes keep the state alive until they are handed over.
+    state_->receivers.on_end = [held = state_](stream_end) {};
+}
+
+auto tcp_stream::connect(event_loop& loop, const endpoint& peer, const stream_options& options,
+                         duration timeout, connect_handler handler) -> void
+{
+    connect_socket(loop, peer, timeout,
+                   [options, handler = std::move(handler)](result<st_h2o_socket_t*> socket) {
+                       if (socket.has_error()) {
+                           handler(nullptr);
+                           return;
+                       }
+                       handler(std::make_unique<tcp_stream>(socket.value(), options));
+                   });
+}
+
+auto tcp_stream::start(handlers receivers) -> void
+{
+    state_->receivers = std::move(receivers);
+    set_reading(true);
+}
+
+auto tcp_stream::write(std::string bytes) -> void
+{
+    if (state_->socket == nullptr || bytes.empty()) {
+        return;
+    }
+    if (state_->pending.empty()) {
+        state_->pending = std::move(bytes);
+    } else {
+        state_->pending.append(bytes);
+    }
+    state_->flush();
+}
+
+auto tcp_stream::set_reading(bool enabled) -> void
+{
+    if (state_->socket == nullptr || (h2o_socket_is_reading(state_->socket) != 0) == enabled) {
+        return;
+    }
+    if (enabled) {
+        h2o_socket_read_start(state_->socket, state::on_readable);
+    } else {
+        h2o_socket_read_stop(state_->socket);
+    }
+}
+
+auto tcp_stream::unsent() const -> std::size_t
+{
+    return state_->writing.size() + state_->pending.size();
+}
+
+auto tcp_stream::is_open() const -> bool
+{
+    return state_->socket != nullptr;
+}
+
+auto tcp_stream::close_after_write() -> void
+{
+    state_->receivers = {};
+    if (!state_->is_write_active && state_->pending.empty()) {
+        state_->close_socket();
+        return;
+    }
+    state_->closes_after_write = true;
+}
+
+auto tcp_stream::close() -> void
+{
+    state_->receivers = {};
+    state_->close_socket();
+}
+
+auto tcp_stream::abort() -> void
+{
+    if (state_->socket != nullptr) {
+        linger immediate{1, 0};
+        (void)setsockopt(h2o_socket_get_fd(state_->socket), SOL_SOCKET, SO_LINGER, &immediate,
+                         sizeof(immediate));
+    }
+    close();
+}
+
+} // namespace cornelswitch
--- a/adapters/platform/http_instance_list.h
+++ b/adapters/platform/http_instance_list.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapters/platform/platform_client.h"
-#include "platform/instance_list.h"
+#include "ownership/instance_list.h"
 
 namespace cornelswitch {
 
--- a/adapters/platform/http_log_service.h
+++ b/adapters/platform/http_log_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapters/platform/platform_client.h"
-#include "platform/log_service.h"
+#include "ownership/log_service.h"
 
 namespace cornelswitch {
 
--- a/cli/blocking_log.h
+++ b/cli/blocking_log.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/log_service.h"
+#include "ownership/log_service.h"
 
 #include <functional>
 #include <string>
--- a/cli/log_commands.h
+++ b/cli/log_commands.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cli/command.h"
-#include "platform/log_service.h"
+#include "ownership/log_service.h"
 
 #include <vector>
 
--- a/daemon/agent_task.h
+++ b/daemon/agent_task.h
@@ -6,7 +6,7 @@
 #include "core/logger.h"
 #include "daemon/control_network.h"
 #include "daemon/log_driver.h"
-#include "daemon/mailbox.h"
+#include "core/mailbox.h"
 #include "daemon/messages.h"
 #include "daemon/metrics.h"
 #include "daemon/moved_slots.h"
@@ -15,7 +15,7 @@
 #include "daemon/status_builder.h"
 #include "daemon/view_builder.h"
 #include "ownership/cell_agent.h"
-#include "platform/instance_list.h"
+#include "ownership/instance_list.h"
 
 #include <functional>
 #include <map>
--- a/daemon/dispatcher_task.h
+++ b/daemon/dispatcher_task.h
@@ -4,7 +4,7 @@
 #include "adapters/nghttp2/peer_server.h"
 #include "core/clock.h"
 #include "core/logger.h"
-#include "daemon/mailbox.h"
+#include "core/mailbox.h"
 #include "daemon/messages.h"
 #include "daemon/metrics.h"
 #include "daemon/server_worker.h"
--- a/daemon/entry_task.h
+++ b/daemon/entry_task.h
@@ -6,7 +6,7 @@
 #include "core/clock.h"
 #include "core/logger.h"
 #include "daemon/entry_request.h"
-#include "daemon/mailbox.h"
+#include "core/mailbox.h"
 #include "daemon/messages.h"
 #include "daemon/metrics.h"
 #include "daemon/peer_protocol.h"
--- a/daemon/log_driver.h
+++ b/daemon/log_driver.h
@@ -4,7 +4,7 @@
 #include "adapters/h2o/timer_scope.h"
 #include "core/logger.h"
 #include "ownership/log_follower.h"
-#include "platform/log_service.h"
+#include "ownership/log_service.h"
 
 #include <functional>
 #include <map>
--- a/daemon/worker_context.h
+++ b/daemon/worker_context.h
@@ -3,7 +3,7 @@
 #include "adapters/h2o/event_loop.h"
 #include "core/clock.h"
 #include "core/logger.h"
-#include "daemon/mailbox.h"
+#include "core/mailbox.h"
 #include "daemon/messages.h"
 #include "daemon/metrics.h"
 
--- /dev/null
+++ b/gateway/backend_directory.cpp
@@ -0,0 +1,203 @@
+#include "gateway/backend_directory.h"
+
+#include "platform/discovery_codec.h"
+
+namespace cornelswitch {
+
+namespace {
+
+/// Departed servers that are remembered; ids are not used again for long.
+constexpr std::size_t max_departed = 4096;
+constexpr std::size_t max_reported = 1024;
+
+} // namespace
+
+auto backend_directory::apply(const std::string& id, const std::string& value, time_point now)
+    -> void
+{
+    if (value.empty()) {
+        remove(id, now);
+        return;
+    }
+    auto decoded = decode_backend_entry(id, value);
+    if (decoded.has_error()) {
+        if (reported_malformed_.size() < max_reported && reported_malformed_.insert(id).second) {
+            log_.line("server-entry-malformed")
+                .text("server", id)
+                .text("cause", decoded.error().message);
+        }
+        return;
+    }
+    auto& entry = decoded.value();
+    auto known = servers_.find(entry.id);
+    auto is_older = [&](server_incarnation incarnation, std::uint64_t sequence) {
+        return entry.incarnation < incarnation ||
+               (entry.incarnation == incarnation && entry.sequence < sequence);
+    };
+    if (known != servers_.end() &&
+        is_older(known->second.entry.incarnation, known->second.entry.sequence)) {
+        return;
+    }
+    if (auto left = departed_.find(entry.id);
+        left != departed_.end() && is_older(left->second.first, left->second.second + 1)) {
+        return;
+    }
+    departed_.erase(entry.id);
+    directory_server next;
+    next.entry = entry;
+    next.heard_at = now;
+    next.cold_until = entry.cold_left > duration::zero() ? now + entry.cold_left : time_point{};
+    bool is_same = known != servers_.end() &&
+                   known->second.entry.incarnation == entry.incarnation &&
+                   known->second.entry.address == entry.address;
+    if (entry.is_draining) {
+        bool was_draining = is_same && known->second.draining_since;
+        next.draining_since = was_draining ? known->second.draining_since : now;
+    }
+    bool is_changed = !is_same || known->second.entry.is_draining != entry.is_draining ||
+                      known->second.entry.cold_left > duration::zero() ||
+                      entry.cold_left > duration::zero() || known->second.leaves_at ||
+                      known->second.entry.slots != entry.slots;
+    bool is_news = !is_same || known->second.entry.is_draining != entry.is_draining ||
+                   (known->second.entry.cold_left > duration::zero()) !=
+                       (entry.cold_left > duration::zero());
+    if (is_news) {
+        log_.line("server-entry")
+            .text("server", id)
+            .text("service", entry.service.value())
+            .text("server_zone", entry.zone.value())
+            .text("address", entry.address.to_text())
+            .text("state", entry.is_draining ? "draining" : "ready")
+            .ms("cold_ms", entry.cold_left)
+            .number("sequence", static_cast<std::int64_t>(entry.sequence))
+            .number("incarnation", entry.incarnation.value());
+    }
+    servers_.insert_or_assign(entry.id, std::move(next));
+    revision_ += is_changed ? 1 : 0;
+}
+
+auto backend_directory::remove(const std::string& id, time_point now) -> void
+{
+    auto it = servers_.find(server_id{id});
+    if (it == servers_.end()) {
+        return;
+    }
+    if (now < grace_until_ && !it->second.entry.is_draining) {
+        it->second.leaves_at = grace_until_;
+        log_.line("server-entry-lapsed").text("server", id).ms("grace_ms", grace_until_ - now);
+        return;
+    }
+    log_.line("server-left")
+        .text("server", id)
+        .text("service", it->second.entry.service.value())
+        .ms("age_ms", now - it->second.heard_at);
+    if (departed_.size() >= max_departed) {
+        departed_.clear();
+    }
+    departed_[it->first] = {it->second.entry.incarnation, it->second.entry.sequence};
+    servers_.erase(it);
+    ++revision_;
+}
+
+auto backend_directory::set_store_available(bool is_available, time_point now) -> void
+{
+    if (is_available && !is_store_available_) {
+        grace_until_ = now + return_grace;
+    }
+    is_store_available_ = is_available;
+}
+
+auto backend_directory::set_evacuated(std::set<zone_id> zones, time_point now) -> void
+{
+    if (zones == evacuated_) {
+        return;
+    }
+    for (const auto& it : zones) {
+        if (!evacuated_.contains(it)) {
+            evacuated_since_[it] = now;
+            log_.line("zone-evacuated").text("evacuated_zone", it.value());
+        }
+    }
+    for (const auto& it : evacuated_) {
+        if (!zones.contains(it)) {
+            log_.line("zone-returned").text("evacuated_zone", it.value());
+        }
+    }
+    evacuated_ = std::move(zones);
+    ++revision_;
+}
+
+auto backend_directory::tick(time_point now) -> bool
+{
+    auto before = revision_;
+    std::vector<std::string> leaving;
+    for (const auto& [id, it] : servers_) {
+        if (it.leaves_at && now >= *it.leaves_at) {
+            leaving.push_back(id.value());
+        }
+    }
+    for (const auto& it : leaving) {
+        remove(it, now);
+    }
+    return revision_ != before;
+}
+
+auto backend_directory::is_evacuated(const backend_entry& it) const -> bool
+{
+    return evacuated_.contains(it.zone);
+}
+
+auto backend_directory::find(const server_id& id) const -> const directory_server*
+{
+    auto it = servers_.find(id);
+    return it == servers_.end() ? nullptr : &it->second;
+}
+
+auto backend_directory::schedulable(const service_id& service, bool is_keyed, time_point now) const
+    -> std::vector<schedulable_server>
+{
+    std::vector<schedulable_server> out;
+    for (const auto& [id, it] : servers_) {
+        if (it.entry.service != service) {
+            continue;
+        }
+        std::optional<time_point> out_since = it.draining_since;
+        if (is_evacuated(it.entry)) {
+            auto since = evacuated_since_.at(it.entry.zone);
+            out_since = out_since ? std::min(*out_since, since) : since;
+        }
+        bool is_usable = !out_since || (is_keyed && now < *out_since + owned_drain_time);
+        out.push_back({id, it.entry.zone, it.entry.slots, is_usable, it.cold_until,
+                       it.entry.incarnation.value(), it.heard_at});
+    }
+    return out;
+}
+
+auto backend_directory::of_service(const service_id& service) const
+    -> std::vector<const directory_server*>
+{
+    std::vector<const directory_server*> out;
+    for (const auto& [id, it] : servers_) {
+        if (it.entry.service == service) {
+            out.push_back(&it);
+        }
+    }
+    return out;
+}
+
+auto backend_directory::owners(const service_id& service, time_point now) const
+    -> std::vector<const directory_server*>
+{
+    std::vector<const directory_server*> out;
+    std::vector<const directory_server*> cold;
+    for (const auto* it : of_service(service)) {
+        if (it->draining_since || it->leaves_at || is_evacuated(it->entry)) {
+            continue;
+        }
+        (now < it->cold_until ? cold : out).push_back(it);
+    }
+    // Cold servers get keys only when nobody else can have them.
+    return out.empty() ? cold : out;
+}
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/caller_connection.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "gateway/exchange.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cornelswitch {
+
+/// One connection of a caller. Requests that arrive behind one another are worked on together;
+/// responses go out in the order of the requests.
+class caller_connection : public std::enable_shared_from_this<caller_connection> {
+public:
+    /// Requests of one connection that are worked on at the same time.
+    static constexpr std::size_t max_exchanges = 32;
+    /// Unsent response bytes above which servers are slowed down.
+    static constexpr std::size_t max_unsent = 256 * 1024;
+
+    caller_connection(exchange_services& services, std::unique_ptr<tcp_stream> stream,
+                      caller_limits limits, std::function<void(caller_connection*)> on_closed);
+
+    auto start() -> void;
+    /// Closes the connection when it is idle, otherwise after the responses in progress.
+    auto shut_down(bool closes_idle) -> void;
+    /// Closes the connection when the caller took too long.
+    auto check_timeouts(time_point now) -> void;
+    auto is_idle() const -> bool { return exchanges_.empty() && !reading_; }
+    auto is_open() const -> bool { return !is_closed_; }
+    auto close() -> void;
+
+private:
+    struct pending {
+        std::shared_ptr<exchange> it;
+        std::string output;
+        bool is_finished{false};
+        bool keeps_connection{true};
+    };
+
+    auto on_data(std::string_view bytes) -> void;
+    auto parse() -> void;
+    auto on_head(http1_head head) -> void;
+    auto on_request_end() -> void;
+    auto on_stream_end() -> void;
+    auto write(const exchange* from, std::string bytes) -> void;
+    auto on_finished(const exchange* from, bool keeps_connection) -> void;
+    auto advance() -> void;
+    auto reject(int status, std::string_view reason) -> void;
+    auto find(const exchange* it) -> pending*;
+    auto make_output(std::weak_ptr<caller_connection> weak) -> exchange::output;
+
+    exchange_services& services_;
+    std::unique_ptr<tcp_stream> stream_;
+    caller_limits limits_;
+    std::function<void(caller_connection*)> on_closed_;
+    std::unique_ptr<http1_parser> parser_;
+    std::string input_;
+    std::deque<pending> exchanges_;
+    std::shared_ptr<exchange> reading_;
+    bool is_rejected_{false};
+    bool is_parsing_{false};
+    bool is_closed_{false};
+    /// The response of the last request closes the connection.
+    bool is_last_{false};
+    bool is_shutting_down_{false};
+    bool is_input_paused_{false};
+    bool is_advancing_{false};
+    bool is_slowed_{false};
+    /// Pending responses are still delivered after `close`.
+    bool is_graceful_{false};
+    /// Where the exchange that was made last finds itself.
+    std::shared_ptr<const exchange*> last_slot_;
+    time_point last_activity_;
+    time_point message_started_{};
+};
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/event_log.cpp
@@ -0,0 +1,159 @@
+#include "gateway/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstdio>
+
+namespace cornelswitch {
+
+namespace {
+
+auto append_quoted(std::string& out, std::string_view text) -> void
+{
+    out.push_back('"');
+    for (char it : text) {
+        auto byte = static_cast<unsigned char>(it);
+        if (it == '"' || it == '\\') {
+            out.push_back('\\');
+            out.push_back(it);
+        } else if (byte < 0x20 || byte >= 0x7f) {
+            // Foreign bytes may not be valid UTF-8.
+            out.push_back('?');
+        } else {
+            out.push_back(it);
+        }
+    }
+    out.push_back('"');
+}
+
+auto append_name(std::string& out, std::string_view name) -> void
+{
+    out.push_back(',');
+    append_quoted(out, name);
+    out.push_back(':');
+}
+
+} // namespace
+
+log_line::~log_line()
+{
+    if (log_ != nullptr) {
+        log_->append(std::move(line_));
+    }
+}
+
+auto log_line::text(std::string_view name, std::string_view value) -> log_line&
+{
+    if (log_ != nullptr) {
+        append_name(line_, name);
+        append_quoted(line_, value);
+    }
+    return *this;
+}
+
+auto log_line::number(std::string_view name, std::int64_t value) -> log_line&
+{
+    if (log_ != nullptr) {
+        append_name(line_, name);
+        line_.append(std::to_string(value));
+    }
+    return *this;
+}
+
+auto log_line::real(std::string_view name, double value) -> log_line&
+{
+    if (log_ != nullptr) {
+        std::array<char, 32> text{};
+        auto n = std::snprintf(text.data(), text.size(), "%.2f", value);
+        append_name(line_, name);
+        line_.append(text.data(), static_cast<std::size_t>(n));
+    }
+    return *this;
+}
+
+auto log_line::ms(std::string_view name, duration value) -> log_line&
+{
+    return real(name, std::chrono::duration<double, std::milli>{value}.count());
+}
+
+event_log::event_log(const clock& time, int fd, std::string_view instance, std::string_view zone)
+    : time_{time}, fd_{fd}
+{
+    append_name(common_, "instance");
+    append_quoted(common_, instance);
+    append_name(common_, "zone");
+    append_quoted(common_, zone);
+    if (fd_ >= 0) {
+        fcntl(fd_, F_SETFL, fcntl(fd_, F_GETFL) | O_NONBLOCK);
+    }
+}
+
+event_log::~event_log()
+{
+    flush();
+}
+
+auto event_log::admit() -> bool
+{
+    auto now = time_.now();
+    if (now - second_started_ >= std::chrono::seconds{1}) {
+        second_started_ = now;
+        lines_this_second_ = 0;
+    }
+    if (fd_ < 0 || ++lines_this_second_ > lines_per_second || buffer_.size() > max_buffered) {
+        dropped_ += fd_ < 0 ? 0 : 1;
+        return false;
+    }
+    return true;
+}
+
+auto event_log::line(std::string_view event) -> log_line
+{
+    if (!admit()) {
+        return {nullptr, {}};
+    }
+    auto now = std::chrono::duration_cast<std::chrono::microseconds>(
+        time_.wall_now().time_since_epoch());
+    std::string start;
+    start.reserve(320);
+    std::array<char, 64> text{};
+    auto n = std::snprintf(text.data(), text.size(), "{\"time\":%.3f",
+                           static_cast<double>(now.count()) / 1e6);
+    start.append(text.data(), static_cast<std::size_t>(n));
+    start.append(common_);
+    append_name(start, "event");
+    append_quoted(start, event);
+    return {this, std::move(start)};
+}
+
+auto event_log::append(std::string line) -> void
+{
+    buffer_.append(line).append("}\n");
+    ++written_;
+}
+
+auto event_log::flush() -> void
+{
+    if (dropped_ > reported_dropped_ && fd_ >= 0) {
+        buffer_.append("{\"event\":\"log-dropped\",\"lines\":" + std::to_string(dropped_ - reported_dropped_) +
+                       "}\n");
+        reported_dropped_ = dropped_;
+    }
+    while (!buffer_.empty() && fd_ >= 0) {
+        auto n = ::write(fd_, buffer_.data(), buffer_.size());
+        if (n <= 0) {
+            // A reader that is gone takes no line any more.
+            if (n < 0 && errno != EAGAIN && errno != EINTR) {
+                dropped_ += 1;
+                buffer_.clear();
+            }
+            return;
+        }
+        buffer_.erase(0, static_cast<std::size_t>(n));
+    }
+}
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/exchange.cpp
@@ -0,0 +1,522 @@
+#include "gateway/exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace cornelswitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Deadline of a request that carries none.
+constexpr duration default_deadline = std::chrono::seconds{5};
+/// Objective of a route that states none, as a part of the deadline.
+constexpr int default_objective_divisor = 4;
+/// A response up to this size is passed on only when it is complete, so that a broken one can be
+/// replaced by another server's.
+constexpr std::size_t response_buffer = 32 * 1024;
+/// A kept connection that was idle for longer may be closed by the server while a request is on
+/// its way, which leaves the outcome unknown.
+constexpr duration max_idle_non_idempotent = std::chrono::seconds{3};
+constexpr duration max_idle_idempotent = std::chrono::seconds{6};
+/// Times that a request is admitted again when its server could not be reached.
+constexpr std::uint32_t max_admissions = 4;
+/// Return time that is stated when nothing better is known.
+constexpr duration default_retry_after = milliseconds{250};
+/// Time left below which another attempt is not worth its cost.
+constexpr duration min_time_for_retry = milliseconds{60};
+
+auto chunk(std::string_view bytes) -> std::string
+{
+    std::array<char, 24> size{};
+    auto n = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string out{size.data(), static_cast<std::size_t>(n)};
+    out.append(bytes).append("\r\n");
+    return out;
+}
+
+auto class_of(const std::string& route) -> work_class
+{
+    // 0 means unknown.
+    return work_class{static_cast<std::uint32_t>(std::hash<std::string>{}(route)) | 1U};
+}
+
+} // namespace
+
+exchange::exchange(exchange_services& services, http1_head head, output to)
+    : services_{services}, output_{std::move(to)}, head_{std::move(head)},
+      info_{decode_caller_request(head_.headers)}, received_{services.loop.now()},
+      keeps_connection_{head_.keeps_alive}
+{
+    expires_ = received_ + info_.deadline.value_or(default_deadline);
+    objective_ = received_;
+}
+
+auto exchange::time_left() const -> duration
+{
+    return expires_ - services_.loop.now();
+}
+
+auto exchange::reject(int status, std::string_view reason) -> void
+{
+    keeps_connection_ = false;
+    respond(status, reason, std::nullopt);
+}
+
+auto exchange::route() -> bool
+{
+    configuration_ = services_.configuration();
+    if (!configuration_) {
+        refuse("no-configuration", default_retry_after);
+        return false;
+    }
+    const auto* host = find_header(head_.headers, "host");
+    route_ = configuration_->routes.find(host != nullptr ? *host : "", head_.target);
+    if (route_ == nullptr) {
+        respond(404, "no-route", std::nullopt);
+        return false;
+    }
+    service_ = services_.choose_target(*route_);
+    auto service = configuration_->content.services.find(service_);
+    is_keyed_ = service != configuration_->content.services.end() && service->second.is_keyed;
+    if (route_->timeout > duration::zero()) {
+        expires_ = std::min(expires_, received_ + route_->timeout);
+    }
+    auto objective = route_->latency_objective > duration::zero()
+                         ? route_->latency_objective
+                         : (expires_ - received_) / default_objective_divisor;
+    objective_ = received_ + objective;
+    return true;
+}
+
+auto exchange::run() -> void
+{
+    if (phase_ == phase::done) {
+        return;
+    }
+    phase_ = phase::waiting;
+    services_.metrics.count("requests_total");
+    if (!route()) {
+        return;
+    }
+    timer_ = services_.loop.schedule(time_left(), [self = shared_from_this()] {
+        self->timer_ = 0;
+        self->on_timeout();
+    });
+    services_.admissions.count_request(service_);
+    request_admission();
+}
+
+auto exchange::request_admission() -> void
+{
+    phase_ = phase::waiting;
+    ++admissions_;
+    admission_request request;
+    if (is_keyed_) {
+        request.key = info_.key;
+    }
+    request.work = class_of(route_->name);
+    request.priority = route_->priority;
+    request.is_bulky = route_->kind == request_kind::download;
+    request.received = received_;
+    request.objective = objective_;
+    request.expires = expires_;
+    request.excluded = excluded_;
+    std::weak_ptr<exchange> weak = weak_from_this();
+    // The decision may come before the id is known.
+    auto id = services_.admissions.request(service_, std::move(request),
+                                           [weak](const admission_decision& decision) {
+                                               if (auto self = weak.lock()) {
+                                                   self->on_decision(decision);
+                                               }
+                                           });
+    if (phase_ == phase::waiting && !admission_) {
+        admission_ = id;
+    }
+}
+
+auto exchange::on_decision(const admission_decision& decision) -> void
+{
+    if (phase_ != phase::waiting) {
+        return;
+    }
+    waited_ += decision.waited;
+    if (decision.outcome == admission_outcome::refuse) {
+        admission_.reset();
+        if (may_have_run_) {
+            respond(502, to_string(decision.cause), std::nullopt);
+        } else {
+            refuse(to_string(decision.cause), decision.retry_after);
+        }
+        return;
+    }
+    admission_ = decision.id;
+    send(decision.server);
+}
+
+auto exchange::send(const server_id& server) -> void
+{
+    server_ = server;
+    const auto* known = services_.directory.find(server);
+    phase_ = phase::sending;
+    if (known == nullptr) {
+        on_failure(attempt_outcome::unreachable, false, "server left");
+        return;
+    }
+    server_incarnation_ = known->entry.incarnation.value();
+    ++sends_;
+    is_committed_ = false;
+    response_body_.clear();
+    server_attempt_request request;
+    request.server = server;
+    request.address = known->entry.address;
+    request.request_id = info_.id;
+    request.is_head = head_.method == "HEAD";
+    request.max_idle = may_repeat() ? max_idle_idempotent : max_idle_non_idempotent;
+    bool has_body = head_.framing != body_framing::none || !body_.empty();
+    auto length = has_body ? std::optional<std::uint64_t>{body_.size()} : std::nullopt;
+    request.bytes = encode_server_request(head_, server, time_left(), length);
+    request.bytes.append(body_);
+    sent_at_ = services_.loop.now();
+    std::weak_ptr<exchange> weak = weak_from_this();
+    attempt_handlers handlers;
+    handlers.on_head = [weak](http1_head head, const server_response_info& info) {
+        if (auto self = weak.lock()) {
+            self->on_head(std::move(head), info);
+        }
+    };
+    handlers.on_body = [weak](std::string_view bytes) {
+        if (auto self = weak.lock()) {
+            self->on_body(bytes);
+        }
+    };
+    handlers.on_end = [weak] {
+        if (auto self = weak.lock()) {
+            self->on_end();
+        }
+    };
+    handlers.on_failure = [weak](attempt_outcome outcome, bool was_stale, std::string_view cause) {
+        if (auto self = weak.lock()) {
+            self->on_failure(outcome, was_stale, cause);
+        }
+    };
+    handlers.on_sent = [weak] {
+        if (auto self = weak.lock()) {
+            self->sent_at_ = self->services_.loop.now();
+        }
+    };
+    attempt_ = services_.pool.send(std::move(request), std::move(handlers));
+}
+
+auto exchange::report(attempt_outcome outcome) -> void
+{
+    if (!admission_) {
+        return;
+    }
+    attempt_report out;
+    out.outcome = outcome;
+    out.service_time = service_time_;
+    if (response_info_.load) {
+        out.reported_running = response_info_.load->running;
+        out.reported_waiting = response_info_.load->waiting;
+        out.slowness_percent = response_info_.load->slowness_percent;
+    }
+    auto id = *std::exchange(admission_, std::nullopt);
+    services_.admissions.complete(service_, id, out);
+}
+
+auto exchange::on_head(http1_head head, const server_response_info& info) -> void
+{
+    service_time_ = services_.loop.now() - sent_at_;
+    response_ = std::move(head);
+    response_info_ = info;
+    is_discarding_ = info.is_not_run;
+    if (is_discarding_) {
+        return;
+    }
+    bool is_success = response_.status >= 200 && response_.status < 300;
+    bool is_unusable = info.is_encoded || (is_success && (info.request_id.empty() || !info.is_sealed));
+    if (is_unusable) {
+        attempt_->cancel();
+        on_failure(attempt_outcome::broken, false, "response is not the server's own");
+        return;
+    }
+    phase_ = phase::responding;
+    if (response_.framing == body_framing::length && response_.length > response_buffer) {
+        commit_response();
+    }
+}
+
+auto exchange::commit_response() -> void
+{
+    if (is_committed_) {
+        return;
+    }
+    is_committed_ = true;
+    is_response_chunked_ = response_.framing == body_framing::chunked ||
+                           response_.framing == body_framing::until_close;
+    auto framing = is_response_chunked_ ? body_framing::chunked : response_.framing;
+    output_.write(encode_caller_response(response_, framing, keeps_connection_));
+    if (!response_body_.empty()) {
+        auto bytes = std::exchange(response_body_, {});
+        output_.write(is_response_chunked_ ? chunk(bytes) : std::move(bytes));
+    }
+}
+
+auto exchange::on_body(std::string_view bytes) -> void
+{
+    if (is_discarding_ || phase_ != phase::responding) {
+        return;
+    }
+    if (is_committed_) {
+        output_.write(is_response_chunked_ ? chunk(bytes) : std::string{bytes});
+        return;
+    }
+    response_body_.append(bytes);
+    if (response_body_.size() > response_buffer) {
+        commit_response();
+    }
+}
+
+auto exchange::on_end() -> void
+{
+    if (is_discarding_) {
+        on_not_run();
+        return;
+    }
+    if (phase_ != phase::responding) {
+        return;
+    }
+    report(attempt_outcome::answered);
+    bool is_refusal_status = response_.status == 503 || response_.status == 429 ||
+                             response_.status == 408;
+    if (!is_committed_ && is_refusal_status && !may_repeat()) {
+        // Callers take these for a promise that the request did not run; the server gave none.
+        respond(502, "server-error", std::nullopt);
+        return;
+    }
+    if (!is_committed_) {
+        // Known as a whole, so that the caller gets a length.
+        if (response_.framing != body_framing::none) {
+            response_.framing = body_framing::length;
+            response_.length = head_.method == "HEAD" ? response_.length : response_body_.size();
+        }
+        auto bytes = encode_caller_response(response_, response_.framing, keeps_connection_);
+        bytes.append(response_body_);
+        is_committed_ = true;
+        output_.write(std::move(bytes));
+    } else if (is_response_chunked_) {
+        output_.write("0\r\n\r\n");
+    }
+    finish(response_.status, "answered", "");
+}
+
+auto exchange::on_not_run() -> void
+{
+    bool is_misdirected = response_.status == 421;
+    if (is_misdirected) {
+        bool is_other = response_info_.instance && *response_info_.instance != server_;
+        if (is_other) {
+            services_.admissions.on_server_ended(service_, server_, server_incarnation_);
+        } else if (is_keyed_ && info_.key) {
+            services_.admissions.on_key_not_held(service_, server_, *info_.key);
+        }
+    }
+    report(is_misdirected ? attempt_outcome::misdirected : attempt_outcome::shed);
+    services_.log.line("attempt-not-run")
+        .text("id", info_.id)
+        .text("server", server_.value())
+        .number("status", response_.status)
+        .ms("after_ms", service_time_);
+    if (!is_keyed_) {
+        excluded_.push_back(server_);
+    }
+    retry_or(503, is_misdirected ? "misdirected" : "server-full", false);
+}
+
+auto exchange::on_failure(attempt_outcome outcome, bool was_stale, std::string_view cause) -> void
+{
+    attempt_.reset();
+    if (phase_ == phase::done) {
+        return;
+    }
+    services_.log.line("attempt-failed")
+        .text("id", info_.id)
+        .text("server", server_.value())
+        .text("outcome", outcome == attempt_outcome::unreachable ? "unreachable" : "broken")
+        .text("cause", cause)
+        .number("kept_connection", was_stale ? 1 : 0)
+        .ms("after_ms", services_.loop.now() - sent_at_);
+    service_time_ = duration::zero();
+    response_info_ = {};
+    report(outcome);
+    if (is_committed_) {
+        abort_response(cause);
+        return;
+    }
+    bool has_run = outcome != attempt_outcome::unreachable;
+    if (!has_run) {
+        // Nothing was sent, so it does not count as an attempt.
+        sends_ -= std::min(1U, sends_);
+    }
+    if (!is_keyed_) {
+        excluded_.push_back(server_);
+    }
+    may_have_run_ = may_have_run_ || has_run;
+    retry_or(502, has_run ? "server-failed" : "server-unreachable", has_run);
+}
+
+auto exchange::retry_or(int status, std::string_view reason, bool has_run) -> void
+{
+    phase_ = phase::waiting;
+    bool is_allowed = (!has_run || may_repeat()) && sends_ < route_->max_attempts &&
+                      admissions_ < max_admissions && time_left() > min_time_for_retry;
+    // A request that was never sent is no repeat.
+    bool is_repeat = sends_ > 0;
+    if (is_allowed && (!is_repeat || services_.admissions.try_repeat(service_))) {
+        services_.metrics.count(is_repeat ? "repeats_total" : "reroutes_total");
+        request_admission();
+        return;
+    }
+    if (may_have_run_) {
+        respond(status == 503 ? 502 : status, reason, std::nullopt);
+    } else {
+        refuse(reason, default_retry_after);
+    }
+}
+
+auto exchange::on_timeout() -> void
+{
+    auto self = shared_from_this();
+    if (phase_ == phase::done) {
+        return;
+    }
+    if (phase_ == phase::responding && is_committed_) {
+        // The rest of the response is on its way; it is delivered, also late.
+        return;
+    }
+    bool was_sent = phase_ == phase::sending || phase_ == phase::responding;
+    if (attempt_) {
+        attempt_->cancel();
+        attempt_.reset();
+    }
+    if (was_sent) {
+        service_time_ = duration::zero();
+        response_info_ = {};
+        report(attempt_outcome::canceled);
+    } else if (admission_) {
+        services_.admissions.withdraw(service_, *std::exchange(admission_, std::nullopt));
+    }
+    if (was_sent || may_have_run_) {
+        respond(504, "timeout", std::nullopt);
+    } else {
+        refuse("timeout", default_retry_after);
+    }
+}
+
+auto exchange::cancel() -> void
+{
+    auto self = shared_from_this();
+    if (phase_ == phase::done) {
+        return;
+    }
+    bool was_sent = phase_ == phase::sending || phase_ == phase::responding;
+    if (attempt_) {
+        attempt_->cancel();
+        attempt_.reset();
+    }
+    if (was_sent) {
+        service_time_ = duration::zero();
+        response_info_ = {};
+        report(attempt_outcome::canceled);
+    } else if (admission_) {
+        services_.admissions.withdraw(service_, *std::exchange(admission_, std::nullopt));
+    }
+    output_ = {};
+    finish(0, "caller-left", "");
+}
+
+auto exchange::close_after() -> bool
+{
+    if (is_committed_ || phase_ == phase::done) {
+        return false;
+    }
+    keeps_connection_ = false;
+    return true;
+}
+
+auto exchange::set_writable(bool is_writable) -> void
+{
+    if (attempt_ && phase_ == phase::responding) {
+        attempt_->set_reading(is_writable);
+    }
+}
+
+auto exchange::refuse(std::string_view reason, duration retry_after) -> void
+{
+    services_.metrics.count("refusals_total");
+    respond(503, reason, retry_after);
+}
+
+auto exchange::respond(int status, std::string_view reason, std::optional<duration> retry_after)
+    -> void
+{
+    if (phase_ == phase::done) {
+        return;
+    }
+    if (output_.write) {
+        output_.write(encode_own_response(status, info_.id, reason, retry_after, keeps_connection_,
+                                          head_.method != "HEAD"));
+    }
+    finish(status, retry_after ? "refused" : "failed", reason);
+}
+
+auto exchange::abort_response(std::string_view cause) -> void
+{
+    auto abort = output_.abort;
+    output_ = {};
+    finish(0, "response-cut", cause);
+    if (abort) {
+        abort();
+    }
+}
+
+auto exchange::finish(int status, std::string_view outcome, std::string_view cause) -> void
+{
+    auto self = shared_from_this();
+    phase_ = phase::done;
+    services_.loop.cancel(timer_);
+    timer_ = 0;
+    attempt_.reset();
+    auto total = services_.loop.now() - received_;
+    auto line = services_.log.line("request");
+    line.text("id", info_.id).text("outcome", outcome).number("status", status).ms("total_ms", total);
+    if (!cause.empty()) {
+        line.text("cause", cause);
+    }
+    if (route_ != nullptr) {
+        line.text("route", route_->name)
+            .text("service", service_.value())
+            .text("server", server_.value())
+            .number("config_version", static_cast<std::int64_t>(configuration_->content.version))
+            .number("sends", sends_)
+            .ms("queued_ms", waited_)
+            .ms("deadline_ms", expires_ - received_);
+        services_.metrics.observe("request_ms", route_->name, total);
+    }
+    if (info_.key && is_keyed_) {
+        line.number("key", *info_.key);
+    }
+    services_.metrics.count("outcome_" + std::string{outcome == "caller-left"    ? "caller_left"
+                                                     : outcome == "response-cut" ? "response_cut"
+                                                                                 : outcome} +
+                            "_total");
+    if (auto done = std::exchange(output_.finish, nullptr)) {
+        done(keeps_connection_);
+    }
+}
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/gateway.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "adapters/h2o/listener.h"
+#include "gateway/caller_connection.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/node_settings.h"
+#include "gateway/service_runtime.h"
+#include "gateway/status_server.h"
+#include "gateway/store_topic.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace cornelswitch {
+
+/// One instance of the gateway on one event loop.
+class gateway final : public admission_client {
+public:
+    gateway(event_loop& loop, node_settings settings, event_log& log, boot_id boot);
+    gateway(const gateway&) = delete;
+    auto operator=(const gateway&) -> gateway& = delete;
+    ~gateway() override;
+
+    /// Opens the listeners and starts to read the store. Errors: those of `listener::open`.
+    auto start() -> result<void>;
+    /// Takes new bounds; addresses stay as they are.
+    auto reload(const node_settings& next) -> void;
+    /// Stops in order: not ready, no new requests on idle connections, then the end.
+    auto shut_down() -> void;
+    auto is_finished() const -> bool { return is_finished_; }
+
+    auto request(const service_id& service, admission_request request, decision_handler handler)
+        -> admission_id override;
+    auto withdraw(const service_id& service, admission_id id) -> void override;
+    auto complete(const service_id& service, admission_id id, const attempt_report& report)
+        -> void override;
+    auto on_key_not_held(const service_id& service, const server_id& server, std::uint16_t key)
+        -> void override;
+    auto on_server_ended(const service_id& service, const server_id& server,
+                         std::int64_t incarnation) -> void override;
+    auto count_request(const service_id& service) -> void override;
+    auto try_repeat(const service_id& service) -> bool override;
+
+private:
+    struct peer_session {
+        std::unique_ptr<peer_link> link;
+        admission_source source;
+        instance_id node;
+        zone_id zone;
+    };
+    /// State of the weighted choice among a route's services.
+    struct split_state {
+        std::vector<double> credit;
+    };
+
+    auto open_listeners() -> result<void>;
+    auto accept_caller(st_h2o_socket_t* socket) -> void;
+    auto accept_peer(st_h2o_socket_t* socket) -> void;
+    auto on_peer_message(admission_source source, const peer_message& message) -> void;
+    auto drop_peer(admission_source source) -> void;
+    auto make_topics() -> void;
+    auto on_operator_records(const std::vector<store_topic::change>& changes) -> void;
+    auto on_server_records(const std::vector<store_topic::change>& changes) -> void;
+    auto on_own_records(const std::vector<store_topic::change>& changes, time_point proof) -> void;
+    auto apply_configuration(const std::string& value) -> void;
+    auto announce() -> void;
+    auto join_group() -> void;
+    auto leave_group() -> void;
+    auto apply_duties() -> void;
+    auto tick() -> void;
+    auto slow_tick(time_point now) -> void;
+    auto advance_shutdown(time_point now) -> void;
+    auto update_servers(time_point now) -> void;
+    auto runtime(const service_id& service) -> service_runtime*;
+    auto instances() const -> std::uint32_t;
+    auto is_ready() const -> bool;
+    auto choose_target(const gateway_route& route) -> service_id;
+    auto status(const std::string& path) -> status_answer;
+    auto is_idle() const -> bool;
+
+    event_loop& loop_;
+    node_settings settings_;
+    event_log& log_;
+    boot_id boot_;
+    random_engine random_;
+    gateway_metrics metrics_;
+    unary_client store_;
+    backend_directory directory_;
+    ownership_store ownership_;
+    server_pool pool_;
+    exchange_services services_;
+    runtime_context context_;
+    std::shared_ptr<const active_configuration> configuration_;
+    std::unordered_map<std::string, split_state> splits_;
+    std::map<service_id, std::unique_ptr<service_runtime>> runtimes_;
+    std::unique_ptr<store_topic> operator_topic_;
+    std::unique_ptr<store_topic> server_topic_;
+    std::unique_ptr<store_topic> own_topic_;
+
+    std::unique_ptr<listener> caller_listener_;
+    std::unique_ptr<listener> peer_listener_;
+    std::unique_ptr<status_server> readiness_;
+    std::unique_ptr<status_server> metrics_server_;
+    std::map<const caller_connection*, std::shared_ptr<caller_connection>> callers_;
+    std::map<admission_source, std::shared_ptr<peer_session>> peers_;
+    std::uint32_t last_source_{0};
+
+    std::set<std::uint32_t> partitions_;
+    std::uint64_t generation_{0};
+    time_point membership_until_{};
+    time_point no_join_before_{};
+    bool is_joining_{false};
+    bool is_announced_{false};
+    time_point next_join_{};
+    time_point next_slow_tick_{};
+    std::uint64_t seen_directory_revision_{0};
+    std::uint32_t seen_instances_{0};
+    time_point shutdown_started_{};
+    bool is_shutting_down_{false};
+    bool is_finished_{false};
+    event_loop::timer_id tick_timer_{0};
+    std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+};
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/ownership_store.cpp
@@ -0,0 +1,82 @@
+#include "gateway/ownership_store.h"
+
+#include <algorithm>
+
+namespace cornelswitch {
+
+namespace {
+
+constexpr duration append_timeout = std::chrono::milliseconds{1000};
+
+} // namespace
+
+ownership_store::ownership_store(event_loop& loop, unary_client& store, event_log& log,
+                                 std::string topic)
+    : loop_{loop}, store_{store}, log_{log}, topic_{std::move(topic)}
+{
+}
+
+auto ownership_store::write(const std::string& key, value_function value, done_function done)
+    -> void
+{
+    auto it = std::ranges::find(queue_, key, &pending::key);
+    if (it != queue_.end()) {
+        *it = {key, std::move(value), std::move(done)};
+        return;
+    }
+    queue_.push_back({key, std::move(value), std::move(done)});
+    next();
+}
+
+auto ownership_store::on_read() -> void
+{
+    needs_read_ = false;
+    next();
+}
+
+auto ownership_store::next() -> void
+{
+    if (is_busy_ || needs_read_ || queue_.empty() || copy_ == nullptr || !copy_->is_loaded()) {
+        return;
+    }
+    auto it = std::move(queue_.front());
+    queue_.pop_front();
+    auto value = it.value();
+    if (!value) {
+        next();
+        return;
+    }
+    is_busy_ = true;
+    ++writes_;
+    auto expected = std::max(copy_->end(), own_end_);
+    auto request = store_codec::append_request(topic_, expected, it.key, *value);
+    store_.call(
+        std::move(request), append_timeout,
+        [this, it = std::move(it), alive = alive_](result<http_response> answer) mutable {
+            if (!*alive) {
+                return;
+            }
+            is_busy_ = false;
+            auto outcome = answer.has_value() ? store_codec::decode_append(answer.value())
+                                              : result<store_append_result>{answer.error()};
+            if (outcome.has_value() && outcome.value().is_stored) {
+                own_end_ = outcome.value().end;
+                it.done();
+                next();
+                return;
+            }
+            log_.line("store-append-failed")
+                .text("key", it.key)
+                .text("cause", outcome.has_error() ? outcome.error().message : "partition moved on");
+            // The read shows whether the append took effect after all, or who was first. The value
+            // function then decides whether to write again.
+            needs_read_ = true;
+            bool is_replaced = std::ranges::find(queue_, it.key, &pending::key) != queue_.end();
+            if (!is_replaced) {
+                queue_.push_front(std::move(it));
+            }
+            copy_->hurry();
+        });
+}
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/peer_link.cpp
@@ -0,0 +1,95 @@
+#include "gateway/peer_link.h"
+
+#include <utility>
+
+namespace cornelswitch {
+
+namespace {
+
+/// A peer that takes nothing for so long is given up; the messages are of no use any more.
+constexpr std::size_t max_unsent = 1024 * 1024;
+
+} // namespace
+
+peer_link::peer_link(event_loop& loop, std::unique_ptr<tcp_stream> stream)
+    : loop_{loop}, stream_{std::move(stream)}, last_heard_{loop.now()}
+{
+}
+
+peer_link::~peer_link()
+{
+    *alive_ = false;
+}
+
+auto peer_link::start(handlers receivers) -> void
+{
+    handlers_ = std::move(receivers);
+    tcp_stream::handlers stream_handlers;
+    stream_handlers.on_data = [this, alive = alive_](std::string_view bytes) {
+        if (*alive) {
+            on_data(bytes);
+        }
+    };
+    stream_handlers.on_end = [this, alive = alive_](stream_end) {
+        if (*alive) {
+            end();
+        }
+    };
+    stream_->start(std::move(stream_handlers));
+}
+
+auto peer_link::send(const peer_message& message) -> void
+{
+    if (!stream_->is_open()) {
+        return;
+    }
+    encode_peer_message(output_, message);
+    if (is_flush_scheduled_) {
+        return;
+    }
+    is_flush_scheduled_ = true;
+    loop_.schedule(duration::zero(), [this, alive = alive_] {
+        if (!*alive) {
+            return;
+        }
+        is_flush_scheduled_ = false;
+        stream_->write(std::exchange(output_, {}));
+        if (stream_->unsent() > max_unsent) {
+            stream_->abort();
+            end();
+        }
+    });
+}
+
+auto peer_link::on_data(std::string_view bytes) -> void
+{
+    last_heard_ = loop_.now();
+    input_.append(bytes);
+    auto messages = decode_peer_messages(input_);
+    if (messages.has_error()) {
+        stream_->abort();
+        end();
+        return;
+    }
+    auto alive = alive_;
+    // Copied, because a handler may end the link.
+    auto handler = handlers_.on_message;
+    for (auto& it : messages.value()) {
+        if (handler) {
+            handler(std::move(it));
+        }
+        if (!*alive) {
+            return;
+        }
+    }
+}
+
+auto peer_link::end() -> void
+{
+    if (auto handler = std::exchange(handlers_.on_end, nullptr)) {
+        handlers_.on_message = nullptr;
+        handler();
+    }
+}
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/peer_link.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "adapters/h2o/event_loop.h"
+#include "adapters/h2o/tcp_stream.h"
+#include "gateway/peer_message.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cornelswitch {
+
+/// One connection between two instances. Messages of one round of the loop are sent together.
+class peer_link {
+public:
+    struct handlers {
+        std::function<void(peer_message)> on_message;
+        /// The connection is gone; no message follows.
+        std::function<void()> on_end;
+    };
+
+    peer_link(event_loop& loop, std::unique_ptr<tcp_stream> stream);
+    peer_link(const peer_link&) = delete;
+    auto operator=(const peer_link&) -> peer_link& = delete;
+    ~peer_link();
+
+    auto start(handlers receivers) -> void;
+    auto send(const peer_message& message) -> void;
+    auto is_open() const -> bool { return stream_->is_open(); }
+    /// When the last bytes arrived.
+    auto last_heard() const -> time_point { return last_heard_; }
+
+private:
+    auto on_data(std::string_view bytes) -> void;
+    auto end() -> void;
+
+    event_loop& loop_;
+    std::unique_ptr<tcp_stream> stream_;
+    handlers handlers_;
+    std::string input_;
+    std::string output_;
+    bool is_flush_scheduled_{false};
+    time_point last_heard_;
+    std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+};
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/peer_message.cpp
@@ -0,0 +1,273 @@
+#include "gateway/peer_message.h"
+
+#include <msgpack.hpp>
+
+#include <cstring>
+
+namespace cornelswitch {
+
+namespace {
+
+constexpr std::size_t length_bytes = 4;
+constexpr std::size_t max_message_bytes = 64 * 1024;
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+auto to_us(duration it) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(it).count();
+}
+
+auto from_us(std::int64_t us) -> duration
+{
+    return std::chrono::microseconds{us};
+}
+
+struct writer {
+    packer& out;
+
+    template<typename... types>
+    auto fields(const types&... values) -> void
+    {
+        out.pack_array(sizeof...(values) + 1);
+        out.pack(kind);
+        (out.pack(values), ...);
+    }
+
+    std::uint8_t kind{0};
+
+    auto operator()(const peer_hello& it) -> void
+    {
+        fields(it.node.value(), it.boot.value(), it.zone.value());
+    }
+    auto operator()(const admission_query& it) -> void
+    {
+        std::vector<std::string> excluded;
+        for (const auto& server : it.excluded) {
+            excluded.push_back(server.value());
+        }
+        std::int32_t key = it.key ? *it.key : -1;
+        fields(it.service.value(), it.id.value(), key, it.work.value(), it.priority, it.is_bulky,
+               to_us(it.age), to_us(it.objective_left), to_us(it.time_left), excluded);
+    }
+    auto operator()(const admission_adopted& it) -> void
+    {
+        fields(it.service.value(), it.id.value(), it.server.value());
+    }
+    auto operator()(const admission_withdrawn& it) -> void
+    {
+        fields(it.service.value(), it.id.value());
+    }
+    auto operator()(const admission_completed& it) -> void
+    {
+        fields(it.service.value(), it.id.value(), static_cast<std::uint8_t>(it.report.outcome),
+               to_us(it.report.service_time), it.report.reported_running,
+               it.report.reported_waiting, it.report.slowness_percent);
+    }
+    auto operator()(const key_not_held& it) -> void
+    {
+        fields(it.service.value(), it.server.value(), it.key);
+    }
+    auto operator()(const server_ended& it) -> void
+    {
+        fields(it.service.value(), it.server.value(), it.incarnation);
+    }
+    auto operator()(const admission_answer& it) -> void
+    {
+        fields(it.service.value(), it.id.value(), static_cast<std::uint8_t>(it.outcome),
+               it.server.value(), static_cast<std::uint8_t>(it.cause), to_us(it.retry_after));
+    }
+    auto operator()(const not_coordinator& it) -> void { fields(it.service.value()); }
+    auto operator()(const role_superseded& it) -> void
+    {
+        fields(it.service.value(), it.term.value());
+    }
+    auto operator()(const role_stopped& it) -> void { fields(it.service.value(), it.term.value()); }
+    auto operator()(const peer_ping&) -> void { fields(); }
+    auto operator()(const peer_pong&) -> void { fields(); }
+};
+
+/// Reads the fields of one message in order; throws `msgpack::type_error` on another shape.
+class reader {
+public:
+    explicit reader(const msgpack::object& from) : from_{from.via.array} {}
+
+    template<typename type>
+    auto next() -> type
+    {
+        if (at_ >= from_.size) {
+            throw msgpack::type_error{};
+        }
+        return from_.ptr[at_++].as<type>();
+    }
+    template<typename type>
+    auto id() -> type
+    {
+        return type{next<typename type::rep_type>()};
+    }
+    template<typename type>
+    auto choice(std::uint8_t most) -> type
+    {
+        auto value = next<std::uint8_t>();
+        if (value > most) {
+            throw msgpack::type_error{};
+        }
+        return static_cast<type>(value);
+    }
+    auto time() -> duration { return from_us(next<std::int64_t>()); }
+
+private:
+    const msgpack::object_array& from_;
+    std::uint32_t at_{0};
+};
+
+auto read_query(reader& from) -> admission_query
+{
+    admission_query out;
+    out.service = from.id<service_id>();
+    out.id = from.id<admission_id>();
+    auto key = from.next<std::int32_t>();
+    if (key >= 0 && key <= 65'535) {
+        out.key = static_cast<std::uint16_t>(key);
+    }
+    out.work = from.id<work_class>();
+    out.priority = from.next<std::uint32_t>();
+    out.is_bulky = from.next<bool>();
+    out.age = from.time();
+    out.objective_left = from.time();
+    out.time_left = from.time();
+    for (auto& it : from.next<std::vector<std::string>>()) {
+        out.excluded.emplace_back(std::move(it));
+    }
+    return out;
+}
+
+auto read_completed(reader& from) -> admission_completed
+{
+    admission_completed out;
+    out.service = from.id<service_id>();
+    out.id = from.id<admission_id>();
+    out.report.outcome =
+        from.choice<attempt_outcome>(static_cast<std::uint8_t>(attempt_outcome::canceled));
+    out.report.service_time = from.time();
+    out.report.reported_running = from.next<std::uint32_t>();
+    out.report.reported_waiting = from.next<std::uint32_t>();
+    out.report.slowness_percent = from.next<std::uint32_t>();
+    return out;
+}
+
+auto read_answer(reader& from) -> admission_answer
+{
+    admission_answer out;
+    out.service = from.id<service_id>();
+    out.id = from.id<admission_id>();
+    out.outcome =
+        from.choice<admission_outcome>(static_cast<std::uint8_t>(admission_outcome::refuse));
+    out.server = from.id<server_id>();
+    out.cause = from.choice<refusal_cause>(static_cast<std::uint8_t>(refusal_cause::expired));
+    out.retry_after = from.time();
+    return out;
+}
+
+auto read_message(const msgpack::object& object) -> peer_message
+{
+    if (object.type != msgpack::type::ARRAY) {
+        throw msgpack::type_error{};
+    }
+    reader from{object};
+    // The kind is the index of the type in `peer_message`.
+    switch (from.next<std::uint8_t>()) {
+    case 0: {
+        auto node = from.id<instance_id>();
+        auto boot = from.id<boot_id>();
+        return peer_hello{std::move(node), boot, from.id<zone_id>()};
+    }
+    case 1:
+        return read_query(from);
+    case 2: {
+        auto service = from.id<service_id>();
+        auto id = from.id<admission_id>();
+        return admission_adopted{std::move(service), id, from.id<server_id>()};
+    }
+    case 3: {
+        auto service = from.id<service_id>();
+        return admission_withdrawn{std::move(service), from.id<admission_id>()};
+    }
+    case 4:
+        return read_completed(from);
+    case 5: {
+        auto service = from.id<service_id>();
+        auto server = from.id<server_id>();
+        return key_not_held{std::move(service), std::move(server), from.next<std::uint16_t>()};
+    }
+    case 6: {
+        auto service = from.id<service_id>();
+        auto server = from.id<server_id>();
+        return server_ended{std::move(service), std::move(server), from.next<std::int64_t>()};
+    }
+    case 7:
+        return read_answer(from);
+    case 8:
+        return not_coordinator{from.id<service_id>()};
+    case 9: {
+        auto service = from.id<service_id>();
+        return role_superseded{std::move(service), from.id<lease_term>()};
+    }
+    case 10: {
+        auto service = from.id<service_id>();
+        return role_stopped{std::move(service), from.id<lease_term>()};
+    }
+    case 11:
+        return peer_ping{};
+    case 12:
+        return peer_pong{};
+    default:
+        throw msgpack::type_error{};
+    }
+}
+
+auto read_length(std::string_view bytes) -> std::size_t
+{
+    std::uint32_t out = 0;
+    std::memcpy(&out, bytes.data(), length_bytes);
+    return out;
+}
+
+} // namespace
+
+auto encode_peer_message(std::string& out, const peer_message& message) -> void
+{
+    msgpack::sbuffer body;
+    packer pack{body};
+    writer it{pack, static_cast<std::uint8_t>(message.index())};
+    std::visit([&](const auto& value) { it(value); }, message);
+    auto size = static_cast<std::uint32_t>(body.size());
+    out.append(reinterpret_cast<const char*>(&size), length_bytes);
+    out.append(body.data(), body.size());
+}
+
+auto decode_peer_messages(std::string& buffer) -> result<std::vector<peer_message>>
+{
+    std::vector<peer_message> out;
+    std::size_t at = 0;
+    try {
+        while (buffer.size() - at >= length_bytes) {
+            auto size = read_length(std::string_view{buffer}.substr(at));
+            if (size > max_message_bytes) {
+                return error{error_code::invalid_message, "peer-message", {}, "too large"};
+            }
+            if (buffer.size() - at < length_bytes + size) {
+                break;
+            }
+            auto handle = msgpack::unpack(buffer.data() + at + length_bytes, size);
+            out.push_back(read_message(handle.get()));
+            at += length_bytes + size;
+        }
+    } catch (const std::exception& ec) {
+        return error{error_code::invalid_message, "peer-message", {}, ec.what()};
+    }
+    buffer.erase(0, at);
+    return out;
+}
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/range_coordinator.cpp
@@ -0,0 +1,267 @@
+#include "gateway/range_coordinator.h"
+
+#include "platform/lease_codec.h"
+
+#include <algorithm>
+
+namespace cornelswitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A release is answered when the work on its keys has ended.
+constexpr duration release_timeout = milliseconds{2500};
+constexpr duration plan_interval = milliseconds{200};
+/// Age at which a request counts 1/e: short, so that newly busy keys show within a second.
+constexpr duration heat_time_constant = milliseconds{1200};
+/// A service's first owners are chosen when no server has joined for this long, so that the first
+/// ones do not get all keys.
+constexpr duration settle_time = milliseconds{700};
+/// Failures in a row after which a server gets no keys, and for how long.
+constexpr std::uint32_t failing_after = 2;
+constexpr duration failing_time = std::chrono::seconds{3};
+
+auto channel_options() -> unary_client::options
+{
+    unary_client::options out;
+    out.connect_timeout = milliseconds{400};
+    out.stream = {milliseconds{700}, std::chrono::seconds{1}};
+    return out;
+}
+
+} // namespace
+
+lease_channel::lease_channel(event_loop& loop, const endpoint& address,
+                             std::function<void()> on_lost)
+    : loop_{loop}, grants_{loop, address, channel_options()},
+      releases_{loop, address, channel_options()}
+{
+    grants_.set_connection_lost(std::move(on_lost));
+}
+
+auto lease_channel::grant(http_request request, time_point deadline, unary_client::handler done)
+    -> void
+{
+    queue_.push_back({std::move(request), deadline, std::move(done)});
+    next();
+}
+
+auto lease_channel::next() -> void
+{
+    if (is_busy_ || queue_.empty()) {
+        return;
+    }
+    auto it = std::move(queue_.front());
+    queue_.pop_front();
+    auto left = it.deadline - loop_.now();
+    if (left <= duration::zero()) {
+        // Never sent, so it extends no lease. Deferred, as other answers are.
+        loop_.schedule(duration::zero(), [this, done = std::move(it.done), alive = alive_] {
+            if (*alive) {
+                done(error{error_code::connection_refused, "key-lease", {}, "not sent in time"});
+                next();
+            }
+        });
+        return;
+    }
+    is_busy_ = true;
+    grants_.call(std::move(it.request), left,
+                 [this, done = std::move(it.done), alive = alive_](result<http_response> answer) {
+                     if (!*alive) {
+                         return;
+                     }
+                     is_busy_ = false;
+                     done(std::move(answer));
+                     if (*alive) {
+                         next();
+                     }
+                 });
+}
+
+auto lease_channel::release(http_request request, duration timeout, unary_client::handler done)
+    -> void
+{
+    releases_.call(std::move(request), timeout, std::move(done));
+}
+
+range_coordinator::range_coordinator(event_loop& loop, const clock& time, event_log& log,
+                                     const backend_directory& directory, service_id service,
+                                     range_lease_settings settings)
+    : loop_{loop}, time_{time}, log_{log}, directory_{directory}, service_{std::move(service)},
+      settings_{settings}, authority_{settings, time, make_hooks()}, heat_{heat_time_constant}
+{
+}
+
+range_coordinator::~range_coordinator()
+{
+    *alive_ = false;
+}
+
+auto range_coordinator::make_hooks() -> range_authority::hooks
+{
+    range_authority::hooks out;
+    out.grant = [this](const server_id& server, key_range keys, fencing_token token,
+                       duration lease, const std::string& handover,
+                       std::function<void(result<void>)> done) {
+        auto* to = channel(server);
+        if (to == nullptr) {
+            loop_.schedule(duration::zero(), [done = std::move(done)] {
+                done(error{error_code::connection_refused, "key-lease", {}, "server left"});
+            });
+            return;
+        }
+        to->grant(lease_codec::grant_request(server, keys, token.value(), lease, handover),
+                  time_.now() + settings_.call_timeout,
+                  [this, server, done = std::move(done)](result<http_response> answer) {
+                      record_outcome(server, answer.has_value());
+                      if (answer.has_error()) {
+                          done(answer.error());
+                          return;
+                      }
+                      done(lease_codec::decode_grant(answer.value()));
+                  });
+    };
+    out.release = [this](const server_id& server, key_range keys, fencing_token token,
+                         std::function<void(result<std::string>)> done) {
+        auto* to = channel(server);
+        if (to == nullptr) {
+            loop_.schedule(duration::zero(), [done = std::move(done)] {
+                done(error{error_code::connection_refused, "key-lease", {}, "server left"});
+            });
+            return;
+        }
+        to->release(lease_codec::release_request(server, keys, token.value()), release_timeout,
+                    [done = std::move(done)](result<http_response> answer) {
+                        if (answer.has_error()) {
+                            done(answer.error());
+                            return;
+                        }
+                        done(lease_codec::decode_release(answer.value()));
+                    });
+    };
+    out.report = [this](std::string_view event, const range_status& range, fencing_token token,
+                        const server_id& previous) {
+        log_.line("key-range")
+            .text("service", service_.value())
+            .text("change", event)
+            .number("first", range.keys.first)
+            .number("last", range.keys.last)
+            .text("phase", to_string(range.phase))
+            .text("owner", range.owner ? range.owner->value() : "")
+            .text("previous", previous.value())
+            .number("token", static_cast<std::int64_t>(token.value()));
+    };
+    return out;
+}
+
+auto range_coordinator::channel(const server_id& server) -> lease_channel*
+{
+    auto it = channels_.find(server);
+    const auto* known = directory_.find(server);
+    if (known == nullptr) {
+        // The entry may be gone while the server still runs, so keys can be taken back.
+        return it == channels_.end() ? nullptr : it->second.get();
+    }
+    if (it != channels_.end() && it->second->address() == known->entry.address) {
+        return it->second.get();
+    }
+    auto made = std::make_unique<lease_channel>(
+        loop_, known->entry.address, [this, server] { authority_.on_connection_lost(server); });
+    auto* out = made.get();
+    if (it != channels_.end()) {
+        // Destroyed later: this may run inside one of its handlers.
+        auto old = std::shared_ptr<lease_channel>{std::move(it->second)};
+        loop_.schedule(duration::zero(), [old] {});
+    }
+    channels_[server] = std::move(made);
+    return out;
+}
+
+auto range_coordinator::record_outcome(const server_id& server, bool is_answered) -> void
+{
+    auto& it = health_[server];
+    it.failures = is_answered ? 0 : it.failures + 1;
+    if (!is_answered) {
+        it.failed_at = time_.now();
+    }
+}
+
+auto range_coordinator::is_failing(const server_id& server, time_point now) const -> bool
+{
+    auto it = health_.find(server);
+    return it != health_.end() && it->second.failures >= failing_after &&
+           now < it->second.failed_at + failing_time;
+}
+
+auto range_coordinator::is_cut_off(time_point now) const -> bool
+{
+    auto servers = directory_.of_service(service_);
+    if (servers.size() < 3) {
+        return false;
+    }
+    auto failing = std::ranges::count_if(
+        servers, [&](const auto* it) { return is_failing(it->entry.id, now); });
+    return 2 * static_cast<std::size_t>(failing) > servers.size();
+}
+
+auto range_coordinator::update_servers(time_point now) -> void
+{
+    std::vector<lease_server> servers;
+    for (const auto* it : directory_.of_service(service_)) {
+        servers.push_back({it->entry.id, it->entry.incarnation.value()});
+    }
+    if (servers.size() != servers_seen_) {
+        servers_seen_ = servers.size();
+        servers_seen_at_ = now;
+    }
+    authority_.set_servers(servers, now);
+    std::erase_if(health_, [&](const auto& it) { return directory_.find(it.first) == nullptr; });
+}
+
+auto range_coordinator::plan(time_point now, const admission_scheduler& scheduler) -> void
+{
+    std::vector<planned_server> servers;
+    for (const auto* it : directory_.owners(service_, now)) {
+        if (is_failing(it->entry.id, now)) {
+            continue;
+        }
+        servers.push_back({it->entry.id, scheduler.capacity(it->entry.id),
+                           scheduler.backlog(it->entry.id), it->entry.slots});
+    }
+    std::vector<planned_range> ranges;
+    for (const auto& it : authority_.statuses()) {
+        planned_range range{it.keys, it.owner, false};
+        switch (it.phase) {
+        case range_phase::held:
+            break;
+        case range_phase::unowned:
+            range.owner.reset();
+            break;
+        case range_phase::granting:
+        case range_phase::releasing:
+        case range_phase::waiting:
+            range.is_moving = true;
+            break;
+        }
+        ranges.push_back(std::move(range));
+    }
+    bool is_first = std::ranges::all_of(ranges, [](const auto& it) { return !it.owner; });
+    if (is_first && now < servers_seen_at_ + settle_time) {
+        return;
+    }
+    for (const auto& it : planner_.plan(servers, ranges, heat_, now)) {
+        authority_.move(it.keys, it.target, now);
+    }
+}
+
+auto range_coordinator::tick(time_point now, const admission_scheduler& scheduler) -> void
+{
+    if (now >= next_plan_ && authority_.may_move(now)) {
+        next_plan_ = now + plan_interval;
+        plan(now, scheduler);
+    }
+    authority_.tick(now);
+}
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/range_coordinator.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "gateway/backend_directory.h"
+#include "gateway/unary_client.h"
+#include "ownership/range_authority.h"
+#include "routing/key_heat.h"
+#include "routing/range_planner.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace cornelswitch {
+
+/// Carries lease calls to one server, one after the other on one connection, so that renewals of
+/// many ranges need no more connections. Releases, which wait for running work, have their own.
+class lease_channel {
+public:
+    lease_channel(event_loop& loop, const endpoint& address, std::function<void()> on_lost);
+
+    /// `deadline` bounds the time in the queue and the call.
+    auto grant(http_request request, time_point deadline, unary_client::handler done) -> void;
+    auto release(http_request request, duration timeout, unary_client::handler done) -> void;
+    auto address() const -> const endpoint& { return grants_.server(); }
+
+private:
+    struct queued {
+        http_request request;
+        time_point deadline;
+        unary_client::handler done;
+    };
+
+    auto next() -> void;
+
+    event_loop& loop_;
+    unary_client grants_;
+    unary_client releases_;
+    std::deque<queued> queue_;
+    bool is_busy_{false};
+    std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+};
+
+/// Runs the range authority of one keyed service: calls the servers, measures which keys are busy,
+/// and plans moves.
+class range_coordinator {
+public:
+    range_coordinator(event_loop& loop, const clock& time, event_log& log,
+                      const backend_directory& directory, service_id service,
+                      range_lease_settings settings);
+    range_coordinator(const range_coordinator&) = delete;
+    auto operator=(const range_coordinator&) -> range_coordinator& = delete;
+    ~range_coordinator();
+
+    auto authority() -> range_authority& { return authority_; }
+    auto authority() const -> const range_authority& { return authority_; }
+    /// The directory has changed.
+    auto update_servers(time_point now) -> void;
+    auto on_request(std::uint16_t key, time_point now) -> void { heat_.add(key, now); }
+    /// Renews leases and plans moves.
+    auto tick(time_point now, const admission_scheduler& scheduler) -> void;
+    /// Whether calls to most of the servers fail.
+    auto is_cut_off(time_point now) const -> bool;
+
+private:
+    struct server_health {
+        std::uint32_t failures{0};
+        time_point failed_at{};
+    };
+
+    auto channel(const server_id& server) -> lease_channel*;
+    auto plan(time_point now, const admission_scheduler& scheduler) -> void;
+    auto record_outcome(const server_id& server, bool is_answered) -> void;
+    auto is_failing(const server_id& server, time_point now) const -> bool;
+    auto make_hooks() -> range_authority::hooks;
+
+    event_loop& loop_;
+    const clock& time_;
+    event_log& log_;
+    const backend_directory& directory_;
+    service_id service_;
+    range_lease_settings settings_;
+    std::map<server_id, std::unique_ptr<lease_channel>> channels_;
+    std::map<server_id, server_health> health_;
+    range_authority authority_;
+    range_planner planner_;
+    key_heat heat_;
+    time_point next_plan_{};
+    time_point servers_seen_at_{};
+    std::size_t servers_seen_{0};
+    std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+};
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/service_runtime.cpp
@@ -0,0 +1,610 @@
+#include "gateway/service_runtime.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelswitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Tokens of one term. A term uses a few for each move, so they outlast any term.
+constexpr std::uint64_t tokens_per_term = 1U << 20U;
+/// Owners are recorded at most this often: readers are billed for each record.
+constexpr duration record_interval = milliseconds{1500};
+constexpr duration reconnect_pause = milliseconds{400};
+constexpr duration link_connect_timeout = milliseconds{400};
+/// Silence of the coordinator after which it is asked for a sign of life, and given up.
+constexpr duration ping_after = milliseconds{200};
+constexpr duration silent_after = milliseconds{600};
+/// Time in which the others connect to a new coordinator.
+constexpr duration connect_grace = std::chrono::seconds{3};
+/// A coordinator that reaches less than half of the others for so long gives up the role.
+constexpr duration cut_off_time = milliseconds{700};
+constexpr admission_source own_source{0};
+
+auto link_options() -> stream_options
+{
+    return {milliseconds{800}, std::chrono::seconds{1}};
+}
+
+} // namespace
+
+service_runtime::service_runtime(runtime_context& context, gateway_service service)
+    : context_{context}, service_{std::move(service)},
+      scheduler_{{}, context.random,
+                 [this](const admission_decision& decision) { on_decision(decision); }}
+{
+    scheduler_.set_owner_lookup([this](std::uint16_t key) { return find_owner(key); });
+    configure(service_);
+}
+
+service_runtime::~service_runtime()
+{
+    *alive_ = false;
+}
+
+auto service_runtime::admission_options() const -> admission_settings
+{
+    admission_settings out;
+    out.is_authority = is_coordinator_;
+    out.is_keyed = service_.is_keyed;
+    out.instances = context_.instances();
+    out.cold_limit =
+        service_.cold_rate * context_.settings.cold_tolerance + context_.settings.cold_burst;
+    return out;
+}
+
+auto service_runtime::configure(const gateway_service& service) -> void
+{
+    service_ = service;
+    scheduler_.configure(admission_options());
+    allowance_.configure({context_.settings.retry_ratio, context_.settings.retry_burst,
+                          context_.instances(), context_.settings.retry_window});
+}
+
+auto service_runtime::find_owner(std::uint16_t key) const -> key_owner
+{
+    auto now = context_.time.now();
+    if (ranges_) {
+        auto found = ranges_->authority().find(key, now);
+        return {found.owner, found.free_at};
+    }
+    auto it = recorded_.upper_bound(key);
+    if (it == recorded_.begin() || !std::prev(it)->second.keys.contains(key)) {
+        return {std::nullopt, now + milliseconds{500}};
+    }
+    return {std::prev(it)->second.owner, now};
+}
+
+auto service_runtime::update_servers(time_point now) -> void
+{
+    scheduler_.set_servers(context_.directory.schedulable(service_.name, service_.is_keyed, now),
+                           now);
+    if (ranges_) {
+        ranges_->update_servers(now);
+    }
+}
+
+auto service_runtime::on_record(const std::optional<ownership_record>& record, time_point proof)
+    -> void
+{
+    bool is_mine = record && record->coordinator == context_.settings.node &&
+                   record->boot == context_.boot;
+    bool is_new = record != record_;
+    record_ = record;
+    if (is_new) {
+        recorded_.clear();
+        if (record_) {
+            for (const auto& it : record_->ranges) {
+                recorded_.emplace(it.keys.first, it);
+            }
+        }
+    }
+    if (is_mine && !is_coordinator_) {
+        become_coordinator(*record);
+    }
+    if (is_mine) {
+        on_proof(proof);
+    }
+    if (!is_mine && is_coordinator_) {
+        step_down("superseded in the store");
+    }
+    if (is_new && !is_mine) {
+        bool is_other = link_ != nullptr && record_ &&
+                        (link_term_ != record_->term || link_boot_ != record_->boot);
+        if (is_other) {
+            drop_link("coordinator changed");
+        }
+        next_connect_ = {};
+    }
+}
+
+auto service_runtime::on_proof(time_point proof) -> void
+{
+    if (is_coordinator_ && ranges_) {
+        ranges_->authority().confirm(proof);
+    }
+}
+
+auto service_runtime::take_over() -> void
+{
+    is_taking_over_ = true;
+    context_.store.write(
+        key(),
+        [this]() -> std::optional<std::string> {
+            bool is_mine = record_ && record_->coordinator == context_.settings.node &&
+                           record_->boot == context_.boot;
+            if (!has_duty_ || is_mine || is_coordinator_) {
+                is_taking_over_ = false;
+                return std::nullopt;
+            }
+            predecessor_ = record_;
+            ownership_record next;
+            next.coordinator = context_.settings.node;
+            next.boot = context_.boot;
+            next.address = context_.settings.peers;
+            next.term = lease_term{record_ ? record_->term.value() + 1 : 1};
+            auto first = record_ ? record_->token_limit.value() : 1;
+            next.token_limit = fencing_token{first + tokens_per_term};
+            next.revision = ++write_revision_;
+            next.is_sole = !record_;
+            if (record_) {
+                next.ranges = record_->ranges;
+            }
+            written_ = next;
+            return encode_ownership_record(next);
+        },
+        [this, alive = alive_] {
+            if (*alive && written_) {
+                record_ = written_;
+                become_coordinator(*written_);
+            }
+        });
+}
+
+auto service_runtime::become_coordinator(const ownership_record& mine) -> void
+{
+    is_taking_over_ = false;
+    if (is_coordinator_) {
+        return;
+    }
+    auto now = context_.time.now();
+    is_coordinator_ = true;
+    coordinator_since_ = now;
+    cut_off_since_ = {};
+    drop_link("this instance is the coordinator");
+    scheduler_.configure(admission_options());
+    // An earlier process of this node has ended, so it grants nothing any more; but one before it
+    // may, unless that one was known to have ended.
+    bool is_own_restart = predecessor_ && predecessor_->is_sole &&
+                          predecessor_->coordinator == context_.settings.node;
+    bool has_live_predecessor = predecessor_ && !is_own_restart;
+    if (service_.is_keyed) {
+        ranges_ = std::make_unique<range_coordinator>(context_.loop, context_.time, context_.log,
+                                                      context_.directory, service_.name,
+                                                      range_lease_settings{});
+        auto first = fencing_token{mine.token_limit.value() - tokens_per_term};
+        ranges_->update_servers(now);
+        auto& authority = ranges_->authority();
+        authority.take_over(mine.ranges, first, mine.token_limit,
+                            has_live_predecessor ? std::optional{now} : std::nullopt, now);
+        authority.confirm(now);
+        ranges_->update_servers(now);
+        recorded_revision_ = authority.revision();
+    }
+    context_.log.line("coordinator-start")
+        .text("service", service_.name.value())
+        .number("term", static_cast<std::int64_t>(mine.term.value()))
+        .text("predecessor", predecessor_ ? predecessor_->coordinator.value() : "")
+        .number("ranges", static_cast<std::int64_t>(mine.ranges.size()));
+    context_.metrics.count("coordinator_starts_total");
+    if (has_live_predecessor) {
+        ask_predecessor(*predecessor_, mine.term);
+    }
+    auto pending = pending_;
+    for (auto& [id, it] : pending) {
+        if (it.is_remote) {
+            pending_[id].is_remote = false;
+            scheduler_.submit(it.request, now);
+        }
+    }
+}
+
+auto service_runtime::step_down(std::string_view cause) -> void
+{
+    is_coordinator_ = false;
+    is_taking_over_ = false;
+    if (ranges_) {
+        ranges_->authority().stop();
+        // Destroyed later: this may run inside one of its handlers.
+        auto old = std::shared_ptr<range_coordinator>{std::move(ranges_)};
+        context_.loop.schedule(duration::zero(), [old] {});
+    }
+    scheduler_.configure(admission_options());
+    context_.log.line("coordinator-stop").text("service", service_.name.value()).text("cause", cause);
+}
+
+auto service_runtime::ask_predecessor(const ownership_record& predecessor, lease_term term) -> void
+{
+    tcp_stream::connect(
+        context_.loop, predecessor.address, link_options(), link_connect_timeout,
+        [this, term, alive = alive_](std::unique_ptr<tcp_stream> stream) {
+            if (!*alive || !stream) {
+                return;
+            }
+            predecessor_link_ = std::make_unique<peer_link>(context_.loop, std::move(stream));
+            peer_link::handlers handlers;
+            handlers.on_message = [this, term](const peer_message& message) {
+                const auto* stopped = std::get_if<role_stopped>(&message);
+                if (stopped != nullptr && stopped->service == service_.name &&
+                    stopped->term == term && ranges_) {
+                    auto now = context_.time.now();
+                    ranges_->authority().set_predecessor_end(now);
+                    context_.log.line("predecessor-stopped").text("service", service_.name.value());
+                }
+            };
+            predecessor_link_->start(std::move(handlers));
+            predecessor_link_->send(
+                peer_hello{context_.settings.node, context_.boot, context_.settings.zone});
+            predecessor_link_->send(role_superseded{service_.name, term});
+        });
+}
+
+auto service_runtime::record_ranges(time_point now) -> void
+{
+    if (!ranges_ || now < next_record_ || !record_) {
+        return;
+    }
+    bool is_sole = ranges_->authority().is_sole(now);
+    if (ranges_->authority().revision() == recorded_revision_ && is_sole == record_->is_sole) {
+        return;
+    }
+    auto ranges = ranges_->authority().recorded();
+    recorded_revision_ = ranges_->authority().revision();
+    next_record_ = now + record_interval;
+    if (ranges == record_->ranges && is_sole == record_->is_sole) {
+        return;
+    }
+    context_.store.write(
+        key(),
+        [this]() -> std::optional<std::string> {
+            if (!is_coordinator_ || !ranges_ || !record_) {
+                return std::nullopt;
+            }
+            auto next = *record_;
+            next.ranges = ranges_->authority().recorded();
+            next.is_sole = ranges_->authority().is_sole(context_.time.now());
+            next.revision = ++write_revision_;
+            written_ = next;
+            return encode_ownership_record(next);
+        },
+        [this, alive = alive_] {
+            if (*alive && is_coordinator_ && written_) {
+                record_ = written_;
+            }
+        });
+}
+
+auto service_runtime::should_resign(time_point now) -> bool
+{
+    if (!is_coordinator_ || now < coordinator_since_ + connect_grace) {
+        return false;
+    }
+    bool is_alone = 2 * context_.connected() < context_.instances();
+    bool is_cut_off = is_alone || (ranges_ && ranges_->is_cut_off(now));
+    if (!is_cut_off) {
+        cut_off_since_ = {};
+        return false;
+    }
+    if (cut_off_since_ == time_point{}) {
+        cut_off_since_ = now;
+    }
+    return now >= cut_off_since_ + cut_off_time;
+}
+
+auto service_runtime::is_active() const -> bool
+{
+    return scheduler_.waiting() > 0 || !pending_.empty() || is_coordinator_;
+}
+
+auto service_runtime::tick(time_point now) -> void
+{
+    if (has_duty_ && !is_coordinator_ && !is_taking_over_) {
+        take_over();
+    }
+    if (is_coordinator_ && ranges_) {
+        ranges_->tick(now, scheduler_);
+        record_ranges(now);
+    }
+    scheduler_.tick(now);
+    if (!is_coordinator_) {
+        check_link(now);
+    }
+}
+
+auto service_runtime::check_link(time_point now) -> void
+{
+    if (link_ == nullptr) {
+        if (!is_connecting_ && now >= next_connect_ && record_ &&
+            !(record_->coordinator == context_.settings.node)) {
+            connect();
+        }
+        return;
+    }
+    bool is_waiting =
+        std::ranges::any_of(pending_, [](const auto& it) { return it.second.is_remote; });
+    if (!is_waiting) {
+        last_ping_ = {};
+        return;
+    }
+    auto silence = now - link_->last_heard();
+    if (last_ping_ != time_point{} && now - last_ping_ > silent_after &&
+        link_->last_heard() < last_ping_) {
+        drop_link("silent");
+        return;
+    }
+    bool needs_ping = silence > ping_after &&
+                      (last_ping_ == time_point{} || link_->last_heard() >= last_ping_);
+    if (needs_ping) {
+        last_ping_ = now;
+        link_->send(peer_ping{});
+    }
+}
+
+auto service_runtime::connect() -> void
+{
+    is_connecting_ = true;
+    next_connect_ = context_.time.now() + reconnect_pause;
+    auto to = *record_;
+    tcp_stream::connect(context_.loop, to.address, link_options(), link_connect_timeout,
+                        [this, to, alive = alive_](std::unique_ptr<tcp_stream> stream) {
+                            if (!*alive) {
+                                return;
+                            }
+                            is_connecting_ = false;
+                            bool is_current = record_ && record_->term == to.term && !is_coordinator_;
+                            if (stream && is_current) {
+                                on_link(std::move(stream), to);
+                            }
+                        });
+}
+
+auto service_runtime::on_link(std::unique_ptr<tcp_stream> stream, const ownership_record& to)
+    -> void
+{
+    link_ = std::make_unique<peer_link>(context_.loop, std::move(stream));
+    link_term_ = to.term;
+    link_boot_ = to.boot;
+    is_link_usable_ = true;
+    last_ping_ = {};
+    peer_link::handlers handlers;
+    handlers.on_message = [this, alive = alive_](const peer_message& message) {
+        if (*alive) {
+            on_link_message(message);
+        }
+    };
+    handlers.on_end = [this, alive = alive_] {
+        if (*alive) {
+            drop_link("connection ended");
+        }
+    };
+    link_->start(std::move(handlers));
+    link_->send(peer_hello{context_.settings.node, context_.boot, context_.settings.zone});
+    for (const auto& [id, it] : admitted_) {
+        link_->send(admission_adopted{service_.name, admission_id{id}, it.server});
+    }
+    context_.log.line("coordinator-connected")
+        .text("service", service_.name.value())
+        .text("coordinator", to.coordinator.value())
+        .number("term", static_cast<std::int64_t>(to.term.value()));
+}
+
+auto service_runtime::drop_link(std::string_view cause) -> void
+{
+    if (link_ == nullptr) {
+        return;
+    }
+    // Destroyed later: this may run inside one of its handlers.
+    auto old = std::shared_ptr<peer_link>{std::move(link_)};
+    context_.loop.schedule(duration::zero(), [old] {});
+    is_link_usable_ = false;
+    next_connect_ = context_.time.now() + reconnect_pause;
+    context_.log.line("coordinator-lost").text("service", service_.name.value()).text("cause", cause);
+    context_.metrics.count("coordinator_links_lost_total");
+    std::vector<admission_request> again;
+    for (auto& [id, it] : pending_) {
+        if (it.is_remote) {
+            it.is_remote = false;
+            again.push_back(it.request);
+        }
+    }
+    for (auto& it : again) {
+        scheduler_.submit(std::move(it), context_.time.now());
+    }
+}
+
+auto service_runtime::on_link_message(const peer_message& message) -> void
+{
+    if (const auto* answer = std::get_if<admission_answer>(&message)) {
+        auto it = pending_.find(answer->id.value());
+        if (it == pending_.end()) {
+            // The caller left meanwhile; the coordinator must not count the request for long.
+            if (answer->outcome == admission_outcome::send && link_) {
+                link_->send(admission_completed{
+                    service_.name, answer->id, {attempt_outcome::canceled, duration::zero(), 0, 0, 0}});
+            }
+            return;
+        }
+        auto now = context_.time.now();
+        admission_decision decision;
+        decision.source = own_source;
+        decision.id = answer->id;
+        decision.outcome = answer->outcome;
+        decision.server = answer->server;
+        decision.cause = answer->cause;
+        decision.retry_after = answer->retry_after;
+        decision.waited = now - it->second.request.received;
+        if (answer->outcome == admission_outcome::send) {
+            scheduler_.adopt(own_source, answer->id, answer->server, it->second.request.work, now);
+        }
+        resolve(answer->id, decision);
+        return;
+    }
+    if (std::holds_alternative<not_coordinator>(message)) {
+        drop_link("not the coordinator");
+    }
+}
+
+auto service_runtime::on_decision(const admission_decision& decision) -> void
+{
+    if (decision.source == own_source) {
+        resolve(decision.id, decision);
+        return;
+    }
+    context_.answer(decision.source,
+                    admission_answer{service_.name, decision.id, decision.outcome, decision.server,
+                                     decision.cause, decision.retry_after});
+}
+
+auto service_runtime::resolve(admission_id id, const admission_decision& decision) -> void
+{
+    auto node = pending_.extract(id.value());
+    if (node.empty()) {
+        return;
+    }
+    if (decision.outcome == admission_outcome::send) {
+        admitted_[id.value()] = {decision.server};
+    }
+    node.mapped().handler(decision);
+}
+
+auto service_runtime::request(admission_request request,
+                              admission_client::decision_handler handler) -> admission_id
+{
+    auto now = context_.time.now();
+    admission_id id{++last_id_};
+    request.source = own_source;
+    request.id = id;
+    request.zone = context_.settings.zone;
+    bool is_remote = !is_coordinator_ && has_link();
+    pending_.emplace(id.value(), pending_request{request, std::move(handler), is_remote});
+    if (is_coordinator_ && request.key && ranges_) {
+        ranges_->on_request(*request.key, now);
+    }
+    if (!is_remote) {
+        scheduler_.submit(std::move(request), now);
+        return id;
+    }
+    admission_query query;
+    query.service = service_.name;
+    query.id = id;
+    query.key = request.key;
+    query.work = request.work;
+    query.priority = request.priority;
+    query.is_bulky = request.is_bulky;
+    query.age = now - request.received;
+    query.objective_left = request.objective - now;
+    query.time_left = request.expires - now;
+    query.excluded = request.excluded;
+    link_->send(query);
+    return id;
+}
+
+auto service_runtime::withdraw(admission_id id) -> void
+{
+    auto node = pending_.extract(id.value());
+    if (node.empty()) {
+        return;
+    }
+    if (node.mapped().is_remote && has_link()) {
+        link_->send(admission_withdrawn{service_.name, id});
+    } else {
+        scheduler_.withdraw(own_source, id);
+    }
+}
+
+auto service_runtime::complete(admission_id id, const attempt_report& report) -> void
+{
+    admitted_.erase(id.value());
+    if (!is_coordinator_ && has_link()) {
+        link_->send(admission_completed{service_.name, id, report});
+    }
+    scheduler_.complete(own_source, id, report, context_.time.now());
+}
+
+auto service_runtime::on_key_not_held(const server_id& server, std::uint16_t key) -> void
+{
+    if (ranges_) {
+        ranges_->authority().on_not_held(server, key, context_.time.now());
+    } else if (has_link()) {
+        link_->send(key_not_held{service_.name, server, key});
+    }
+}
+
+auto service_runtime::on_server_ended(const server_id& server, std::int64_t incarnation) -> void
+{
+    if (ranges_) {
+        ranges_->authority().on_server_ended(server, incarnation, context_.time.now());
+    } else if (has_link()) {
+        link_->send(server_ended{service_.name, server, incarnation});
+    }
+}
+
+auto service_runtime::on_peer_message(admission_source source, const zone_id& zone,
+                                      const peer_message& message) -> void
+{
+    auto now = context_.time.now();
+    if (const auto* superseded = std::get_if<role_superseded>(&message)) {
+        bool is_later = record_ && superseded->term > record_->term;
+        if (is_coordinator_ && is_later) {
+            step_down("superseded by a peer");
+        }
+        if (!is_coordinator_) {
+            context_.answer(source, role_stopped{service_.name, superseded->term});
+        }
+        return;
+    }
+    if (!is_coordinator_) {
+        if (std::holds_alternative<admission_query>(message)) {
+            context_.answer(source, not_coordinator{service_.name});
+        }
+        return;
+    }
+    if (const auto* query = std::get_if<admission_query>(&message)) {
+        admission_request request;
+        request.source = source;
+        request.id = query->id;
+        request.zone = zone;
+        request.key = query->key;
+        request.work = query->work;
+        request.priority = query->priority;
+        request.is_bulky = query->is_bulky;
+        request.received = now - query->age;
+        request.objective = now + query->objective_left;
+        request.expires = now + query->time_left;
+        request.excluded = query->excluded;
+        if (request.key && ranges_) {
+            ranges_->on_request(*request.key, now);
+        }
+        scheduler_.submit(std::move(request), now);
+    } else if (const auto* adopted = std::get_if<admission_adopted>(&message)) {
+        scheduler_.adopt(source, adopted->id, adopted->server, work_class{0}, now);
+    } else if (const auto* withdrawn = std::get_if<admission_withdrawn>(&message)) {
+        scheduler_.withdraw(source, withdrawn->id);
+    } else if (const auto* completed = std::get_if<admission_completed>(&message)) {
+        scheduler_.complete(source, completed->id, completed->report, now);
+    } else if (const auto* not_held = std::get_if<key_not_held>(&message)) {
+        on_key_not_held(not_held->server, not_held->key);
+    } else if (const auto* ended = std::get_if<server_ended>(&message)) {
+        on_server_ended(ended->server, ended->incarnation);
+    }
+}
+
+auto service_runtime::drop_source(admission_source source) -> void
+{
+    scheduler_.drop_source(source, context_.time.now());
+}
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/service_runtime.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "gateway/admission_client.h"
+#include "gateway/backend_directory.h"
+#include "gateway/gateway_configuration.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/node_settings.h"
+#include "gateway/ownership_store.h"
+#include "gateway/peer_link.h"
+#include "gateway/range_coordinator.h"
+#include "routing/repeat_allowance.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace cornelswitch {
+
+/// What the runtimes of all services share.
+struct runtime_context {
+    event_loop& loop;
+    const clock& time;
+    event_log& log;
+    gateway_metrics& metrics;
+    const node_settings& settings;
+    const backend_directory& directory;
+    ownership_store& store;
+    random_engine& random;
+    boot_id boot;
+    /// Sends a message to the instance that asked with this source.
+    std::function<void(admission_source, const peer_message&)> answer;
+    /// Instances that are known, this one included.
+    std::function<std::uint32_t()> instances;
+    /// Instances that are connected to this one, itself included.
+    std::function<std::uint32_t()> connected;
+};
+
+/// One service at this instance: its scheduler, and the role of its coordinator.
+///
+/// The coordinator schedules the requests of all instances and runs the key leases. Any other
+/// instance asks it for each request, and schedules on its own when it cannot reach it.
+class service_runtime {
+public:
+    service_runtime(runtime_context& context, gateway_service service);
+    service_runtime(const service_runtime&) = delete;
+    auto operator=(const service_runtime&) -> service_runtime& = delete;
+    ~service_runtime();
+
+    auto configure(const gateway_service& service) -> void;
+    /// Whether the store deals the coordinator's duty to this instance.
+    auto set_duty(bool is_mine) -> void { has_duty_ = is_mine; }
+    /// The newest record of the service, read at a time not before `proof`.
+    auto on_record(const std::optional<ownership_record>& record, time_point proof) -> void;
+    /// The newest record had not changed at `proof`.
+    auto on_proof(time_point proof) -> void;
+    auto update_servers(time_point now) -> void;
+    auto tick(time_point now) -> void;
+    /// Whether something waits for the next tick.
+    auto is_active() const -> bool;
+    auto is_coordinator() const -> bool { return is_coordinator_; }
+    /// Whether this instance should leave the role to one that reaches more.
+    auto should_resign(time_point now) -> bool;
+
+    auto request(admission_request request, admission_client::decision_handler handler)
+        -> admission_id;
+    auto withdraw(admission_id id) -> void;
+    auto complete(admission_id id, const attempt_report& report) -> void;
+    auto on_key_not_held(const server_id& server, std::uint16_t key) -> void;
+    auto on_server_ended(const server_id& server, std::int64_t incarnation) -> void;
+    auto allowance() -> repeat_allowance& { return allowance_; }
+
+    /// A message from the instance with number `source`.
+    auto on_peer_message(admission_source source, const zone_id& zone, const peer_message& message)
+        -> void;
+    auto drop_source(admission_source source) -> void;
+    auto key() const -> std::string { return "service/" + service_.name.value(); }
+    auto name() const -> const service_id& { return service_.name; }
+
+private:
+    struct pending_request {
+        admission_request request;
+        admission_client::decision_handler handler;
+        bool is_remote{false};
+    };
+    struct admitted_request {
+        server_id server;
+    };
+
+    auto admission_options() const -> admission_settings;
+    auto on_decision(const admission_decision& decision) -> void;
+    auto resolve(admission_id id, const admission_decision& decision) -> void;
+    auto find_owner(std::uint16_t key) const -> key_owner;
+    auto take_over() -> void;
+    auto become_coordinator(const ownership_record& mine) -> void;
+    auto step_down(std::string_view cause) -> void;
+    auto record_ranges(time_point now) -> void;
+    auto connect() -> void;
+    auto on_link(std::unique_ptr<tcp_stream> stream, const ownership_record& to) -> void;
+    auto on_link_message(const peer_message& message) -> void;
+    auto drop_link(std::string_view cause) -> void;
+    auto check_link(time_point now) -> void;
+    auto ask_predecessor(const ownership_record& predecessor, lease_term term) -> void;
+    auto has_link() const -> bool { return link_ != nullptr && link_->is_open() && is_link_usable_; }
+
+    runtime_context& context_;
+    gateway_service service_;
+    admission_scheduler scheduler_;
+    repeat_allowance allowance_;
+    std::unique_ptr<range_coordinator> ranges_;
+    std::optional<ownership_record> record_;
+    /// Owners of the recorded ranges by first key, for the time without contact.
+    std::map<std::uint16_t, recorded_range> recorded_;
+    bool is_coordinator_{false};
+    bool has_duty_{false};
+    bool is_taking_over_{false};
+    std::optional<ownership_record> predecessor_;
+    time_point coordinator_since_{};
+    time_point cut_off_since_{};
+    std::uint64_t recorded_revision_{0};
+    time_point next_record_{};
+    std::uint64_t write_revision_{0};
+    /// Record of the last write, until it is known whether it was stored.
+    std::optional<ownership_record> written_;
+
+    std::unordered_map<std::uint64_t, pending_request> pending_;
+    std::unordered_map<std::uint64_t, admitted_request> admitted_;
+    std::uint64_t last_id_{0};
+
+    std::unique_ptr<peer_link> link_;
+    bool is_link_usable_{false};
+    lease_term link_term_;
+    boot_id link_boot_;
+    bool is_connecting_{false};
+    time_point next_connect_{};
+    time_point last_ping_{};
+    std::unique_ptr<peer_link> predecessor_link_;
+    std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+};
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/store_topic.cpp
@@ -0,0 +1,203 @@
+#include "gateway/store_topic.h"
+
+#include <algorithm>
+
+namespace cornelswitch {
+
+namespace {
+
+/// An answer that the store does not hold back comes within this time, or the store is down.
+constexpr duration answer_timeout = std::chrono::milliseconds{1500};
+/// Pause after a failed read; it grows so that a store that is down gets few calls.
+constexpr duration first_failure_pause = std::chrono::milliseconds{150};
+constexpr duration longest_failure_pause = std::chrono::milliseconds{600};
+
+} // namespace
+
+store_topic::store_topic(event_loop& loop, unary_client& store, event_log& log,
+                         topic_options options, hooks receivers)
+    : loop_{loop}, store_{store}, log_{log}, options_{std::move(options)},
+      hooks_{std::move(receivers)}
+{
+}
+
+store_topic::~store_topic()
+{
+    *alive_ = false;
+    loop_.cancel(timer_);
+}
+
+auto store_topic::start() -> void
+{
+    schedule(duration::zero());
+}
+
+auto store_topic::schedule(duration delay) -> void
+{
+    loop_.cancel(timer_);
+    timer_ = loop_.schedule(delay, [this] { read(); });
+}
+
+auto store_topic::hurry() -> void
+{
+    if (!is_reading_) {
+        schedule(duration::zero());
+    }
+}
+
+auto store_topic::read() -> void
+{
+    if (is_reading_) {
+        return;
+    }
+    is_reading_ = true;
+    read_started_ = loop_.now();
+    if (is_loaded_) {
+        read_log();
+        return;
+    }
+    loading_.clear();
+    read_newest({});
+}
+
+auto store_topic::read_newest(const std::string& after) -> void
+{
+    auto request = store_codec::newest_request(options_.topic, after);
+    auto is_first = after.empty();
+    store_.call(std::move(request), answer_timeout,
+                [this, is_first, alive = alive_](result<http_response> answer) {
+                    if (!*alive) {
+                        return;
+                    }
+                    if (answer.has_error()) {
+                        on_failure(answer.error());
+                        return;
+                    }
+                    auto page = store_codec::decode_newest(answer.value());
+                    if (page.has_error()) {
+                        on_failure(page.error());
+                        return;
+                    }
+                    // Pages are no snapshot: what changes meanwhile is read again from the end of
+                    // the first one.
+                    if (is_first) {
+                        loading_end_ = page.value().end;
+                    }
+                    for (auto& it : page.value().records) {
+                        loading_.insert_or_assign(it.key, it.value);
+                    }
+                    if (page.value().has_more && !page.value().records.empty()) {
+                        read_newest(page.value().records.back().key);
+                        return;
+                    }
+                    std::vector<change> changes;
+                    for (const auto& [key, value] : records_) {
+                        if (!loading_.contains(key)) {
+                            changes.push_back({key, {}});
+                        }
+                    }
+                    for (const auto& [key, value] : loading_) {
+                        auto known = records_.find(key);
+                        if (known == records_.end() || known->second != value) {
+                            changes.push_back({key, value});
+                        }
+                    }
+                    records_ = std::move(loading_);
+                    loading_.clear();
+                    next_ = loading_end_;
+                    is_loaded_ = true;
+                    on_success(changes, read_started_);
+                });
+}
+
+auto store_topic::read_log() -> void
+{
+    auto from = next_;
+    store_.call(store_codec::read_request(options_.topic, from, options_.wait),
+                options_.wait + answer_timeout,
+                [this, from, alive = alive_](result<http_response> answer) {
+                    if (!*alive) {
+                        return;
+                    }
+                    if (answer.has_error()) {
+                        on_failure(answer.error());
+                        return;
+                    }
+                    auto page = store_codec::decode_read(answer.value(), from);
+                    if (page.has_error()) {
+                        if (page.error().code == error_code::not_found) {
+                            is_loaded_ = false;
+                        }
+                        on_failure(page.error());
+                        return;
+                    }
+                    next_ = page.value().end;
+                    on_success(apply(page.value().records), read_started_);
+                });
+}
+
+auto store_topic::apply(const std::vector<keyed_record>& records) -> std::vector<change>
+{
+    std::vector<change> out;
+    for (const auto& it : records) {
+        if (it.value.empty()) {
+            records_.erase(it.key);
+        } else {
+            records_.insert_or_assign(it.key, it.value);
+        }
+        // Only the newest record of a key matters.
+        std::erase_if(out, [&](const auto& earlier) { return earlier.key == it.key; });
+        out.push_back({it.key, it.value});
+    }
+    return out;
+}
+
+auto store_topic::on_failure(const error& cause) -> void
+{
+    is_reading_ = false;
+    bool was_available = is_available_ || !has_reported_;
+    // Deleted records are no outage; the copy starts over at once.
+    if (cause.code == error_code::not_found) {
+        log_.line("store-restart").text("topic", options_.topic).text("cause", cause.message);
+        schedule(duration::zero());
+        return;
+    }
+    is_available_ = false;
+    if (was_available) {
+        has_reported_ = true;
+        log_.line("store-lost")
+            .text("topic", options_.topic)
+            .text("step", cause.step)
+            .text("cause", cause.message)
+            .ms("last_read_age_ms", loop_.now() - last_read_);
+        if (hooks_.on_availability) {
+            hooks_.on_availability(false);
+        }
+    }
+    failure_pause_ = std::clamp(failure_pause_ * 2, first_failure_pause, longest_failure_pause);
+    schedule(failure_pause_);
+}
+
+auto store_topic::on_success(const std::vector<change>& changes, time_point proof) -> void
+{
+    is_reading_ = false;
+    last_read_ = proof;
+    failure_pause_ = duration::zero();
+    if (!is_available_) {
+        is_available_ = true;
+        has_reported_ = true;
+        log_.line("store-regained")
+            .text("topic", options_.topic)
+            .number("offset", static_cast<std::int64_t>(next_.value()));
+        if (hooks_.on_availability) {
+            hooks_.on_availability(true);
+        }
+    }
+    auto pause = std::max(duration::zero(), read_started_ + options_.pace - loop_.now());
+    schedule(pause);
+    if (hooks_.on_read) {
+        hooks_.on_read(changes, proof);
+    }
+}
+
+} // namespace cornelswitch
--- /dev/null
+++ b/gateway/store_topic.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "gateway/event_log.h"
+#include "gateway/unary_client.h"
+#include "platform/store_codec.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cornelswitch {
+
+/// How a topic is followed.
+struct topic_options {
+    std::string topic;
+    /// Time that the store may hold a read without a record; zero polls.
+    duration wait{0};
+    /// Shortest time between the starts of two reads, so that frequent records are read together.
+    duration pace{std::chrono::milliseconds{200}};
+};
+
+/// Keeps a copy of the newest records of a keyed topic.
+///
+/// It starts from the store's newest records and then reads the log. When records were deleted
+/// before they were read, it starts over; keys that are missing then were removed.
+class store_topic {
+public:
+    struct change {
+        std::string key;
+        /// Empty when the key was removed.
+        std::string value;
+    };
+    struct hooks {
+        /// Called with what changed, perhaps nothing, after each answered read. `proof` is a time
+        /// at which the copy was the newest.
+        std::function<void(const std::vector<change>&, time_point proof)> on_read;
+        /// Called when the topic can be read again, or not any more.
+        std::function<void(bool is_available)> on_availability;
+    };
+
+    store_topic(event_loop& loop, unary_client& store, event_log& log, topic_options options,
+                hooks receivers);
+    store_topic(const store_topic&) = delete;
+    auto operator=(const store_topic&) -> store_topic& = delete;
+    ~store_topic();
+
+    auto start() -> void;
+    /// Reads at once unless a read is in progress that the store does not hold.
+    auto hurry() -> void;
+    auto set_wait(duration wait) -> void { options_.wait = wait; }
+    auto set_pace(duration pace) -> void { options_.pace = pace; }
+    /// Offset after the last record of the copy.
+    auto end() const -> log_offset { return next_; }
+    auto is_available() const -> bool { return is_available_; }
+    auto is_loaded() const -> bool { return is_loaded_; }
+    auto records() const -> const std::map<std::string, std::string>& { return records_; }
+    /// Start of the last read that was answered.
+    auto last_read() const -> time_point { return last_read_; }
+
+private:
+    auto read() -> void;
+    auto read_newest(const std::string& after) -> void;
+    auto read_log() -> void;
+    auto on_failure(const error& cause) -> void;
+    auto on_success(const std::vector<change>& changes, time_point proof) -> void;
+    auto apply(const std::vector<keyed_record>& records) -> std::vector<change>;
+    auto schedule(duration delay) -> void;
+
+    event_loop& loop_;
+    unary_client& store_;
+    event_log& log_;
+    topic_options options_;
+    hooks hooks_;
+    std::map<std::string, std::string> records_;
+    /// Records of a new start that is not complete yet.
+    std::map<std::string, std::string> loading_;
+    log_offset loading_end_;
+    log_offset next_;
+    bool is_loaded_{false};
+    bool is_available_{false};
+    bool has_reported_{false};
+    bool is_reading_{false};
+    time_point read_started_{};
+    time_point last_read_{};
+    duration failure_pause_{0};
+    event_loop::timer_id timer_{0};
+    std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+};
+
+} // namespace cornelswitch
--- a/ownership/folded_stream.h
+++ b/ownership/folded_stream.h
@@ -3,7 +3,7 @@
 #include "config/apply_result.h"
 #include "core/ids.h"
 #include "ownership/log_actions.h"
-#include "platform/log_service.h"
+#include "ownership/log_service.h"
 
 #include <optional>
 #include <vector>
--- /dev/null
+++ b/ownership/key_range.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace cornelswitch {
+
+/// Consecutive numeric keys, both ends included.
+struct key_range {
+    std::uint16_t first{0};
+    std::uint16_t last{65'535};
+
+    auto size() const -> std::uint32_t { return static_cast<std::uint32_t>(last) - first + 1; }
+    auto contains(std::uint16_t key) const -> bool { return first <= key && key <= last; }
+    friend auto operator==(const key_range&, const key_range&) -> bool = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 reports the generated comparison.
+    friend auto operator<=>(const key_range&, const key_range&) = default;
+};
+
+/// Number of numeric keys of a service.
+inline constexpr std::uint32_t numeric_keys = 65'536;
+
+} // namespace cornelswitch
--- a/ownership/log_actions.h
+++ b/ownership/log_actions.h
@@ -3,7 +3,7 @@
 #include "config/apply_result.h"
 #include "core/clock.h"
 #include "core/ids.h"
-#include "platform/log_service.h"
+#include "ownership/log_service.h"
 
 #include <cstdint>
 #include <functional>
--- a/platform/log_service.cpp
+++ b/ownership/log_service.cpp
@@ -1,4 +1,4 @@
-#include "platform/log_service.h"
+#include "ownership/log_service.h"
 
 namespace cornelswitch {
 
--- a/ownership/ownership_state.h
+++ b/ownership/ownership_state.h
@@ -8,7 +8,7 @@
 #include "ownership/records.h"
 #include "ownership/server_table.h"
 #include "ownership/slot_table.h"
-#include "platform/log_service.h"
+#include "ownership/log_service.h"
 
 #include <cstdint>
 #include <map>
--- a/ownership/planner_view.h
+++ b/ownership/planner_view.h
@@ -5,7 +5,7 @@
 #include "core/slot_set.h"
 #include "ownership/ownership_state.h"
 #include "ownership/records.h"
-#include "platform/instance_list.h"
+#include "ownership/instance_list.h"
 
 #include <cstdint>
 #include <map>
--- /dev/null
+++ b/routing/range_planner.cpp
@@ -0,0 +1,334 @@
+#include "routing/range_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace cornelswitch {
+
+namespace {
+
+/// A server below this utilization is not relieved: its queue is short in any case.
+constexpr double busy_utilization = 0.55;
+/// A server is relieved when it is this much above the mean.
+constexpr double busy_factor = 1.25;
+/// Deviations by which a rate must exceed the bound, so that chance alone moves nothing.
+constexpr double confidence = 1.0;
+/// A slice must carry at least this share of what is wanted.
+constexpr double slice_tolerance = 0.75;
+/// Slices that carry less than this many requests per second are not worth a move.
+constexpr double min_slice_rate = 0.4;
+/// A range without owner is divided when it would take more than this share of a server.
+constexpr double max_orphan_share = 0.3;
+constexpr std::uint32_t max_orphan_parts = 8;
+
+struct server_load {
+    planned_server server;
+    double rate{0};
+    std::uint32_t keys{0};
+
+    auto utilization() const -> double { return rate / std::max(0.001, server.capacity); }
+};
+
+class plan_builder {
+public:
+    plan_builder(const std::vector<planned_server>& servers,
+                 const std::vector<planned_range>& ranges, const key_heat& heat, time_point now)
+        : ranges_{ranges}, heat_{heat}, rates_{heat.rates(now)}, now_{now}
+    {
+        for (const auto& it : servers) {
+            loads_.emplace(it.id, server_load{it, 0, 0});
+        }
+        for (const auto& it : ranges_) {
+            auto owner = it.owner ? loads_.find(*it.owner) : loads_.end();
+            if (owner != loads_.end()) {
+                owner->second.rate += heat_.rate(it.keys, now_);
+                owner->second.keys += it.keys.size();
+            }
+        }
+    }
+
+    auto build() -> std::vector<range_move>
+    {
+        if (loads_.empty()) {
+            return {};
+        }
+        place_orphans();
+        if (moves_.empty()) {
+            fill_empty_servers();
+            relieve_busy_servers();
+        }
+        return std::move(moves_);
+    }
+
+private:
+    auto has_owner(const planned_range& it) const -> bool
+    {
+        return it.owner && loads_.contains(*it.owner);
+    }
+
+    auto least_loaded() -> server_load&
+    {
+        auto less = [](const auto& left, const auto& right) {
+            auto a = left.second.utilization();
+            auto b = right.second.utilization();
+            // Keys decide between servers without traffic.
+            return a != b ? a < b
+                          : left.second.keys / left.second.server.capacity <
+                                right.second.keys / right.second.server.capacity;
+        };
+        return std::min_element(loads_.begin(), loads_.end(), less)->second;
+    }
+
+    auto move(key_range keys, server_load& target) -> void
+    {
+        moves_.push_back({keys, target.server.id});
+        target.rate += heat_.rate(keys, now_);
+        target.keys += keys.size();
+    }
+
+    auto place_orphans() -> void
+    {
+        double total_capacity = 0;
+        for (const auto& [id, load] : loads_) {
+            total_capacity += load.server.capacity;
+        }
+        for (const auto& it : ranges_) {
+            if (has_owner(it) || it.is_moving || moves_.size() >= max_orphan_moves()) {
+                continue;
+            }
+            if (it.keys.size() > numeric_keys / 2) {
+                divide_by_capacity(it.keys, total_capacity);
+                continue;
+            }
+            double rate = heat_.rate(it.keys, now_);
+            double share = rate / (total_capacity / static_cast<double>(loads_.size()));
+            auto parts = static_cast<std::uint32_t>(std::ceil(share / max_orphan_share));
+            auto by_size = it.keys.size() * loads_.size() / numeric_keys + 1;
+            parts = std::max<std::uint32_t>(parts, static_cast<std::uint32_t>(by_size));
+            parts = std::clamp<std::uint32_t>(parts, 1, std::min(max_orphan_parts, it.keys.size()));
+            divide_evenly(it.keys, parts, rate);
+        }
+    }
+
+    /// Orphans have nobody who serves them, so more of them are placed at once.
+    auto max_orphan_moves() const -> std::size_t { return 8 * range_planner::max_moves; }
+
+    auto divide_by_capacity(key_range keys, double total_capacity) -> void
+    {
+        double done = 0;
+        std::uint32_t first = keys.first;
+        std::size_t left = loads_.size();
+        for (auto& [id, load] : loads_) {
+            done += load.server.capacity;
+            auto end = keys.first + static_cast<std::uint32_t>(keys.size() * done / total_capacity);
+            if (--left == 0) {
+                end = keys.last + 1U;
+            }
+            if (end > first) {
+                move({static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(end - 1)}, load);
+                first = end;
+            }
+        }
+    }
+
+    /// Divides a range into parts of about the same rate, or the same size when it has no traffic.
+    auto divide_evenly(key_range keys, std::uint32_t parts, double rate) -> void
+    {
+        std::uint32_t first = keys.first;
+        for (std::uint32_t n = 1; n <= parts; ++n) {
+            std::uint32_t last = keys.last;
+            if (n < parts && rate > 0) {
+                last = end_of_slice(first, keys.last, rate / parts);
+            } else if (n < parts) {
+                last = keys.first + keys.size() * n / parts - 1;
+            }
+            if (last < first) {
+                continue;
+            }
+            move({static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(last)},
+                 least_loaded());
+            first = last + 1;
+            if (first > keys.last) {
+                return;
+            }
+        }
+    }
+
+    auto end_of_slice(std::uint32_t first, std::uint32_t limit, double wanted) const
+        -> std::uint32_t
+    {
+        double sum = 0;
+        std::uint32_t key = first;
+        while (key < limit) {
+            auto group_end = (key / key_heat::group_keys + 1) * key_heat::group_keys - 1;
+            auto last = std::min(group_end, limit);
+            sum += rates_[key / key_heat::group_keys] * (last - key + 1) / key_heat::group_keys;
+            if (sum >= wanted) {
+                return last;
+            }
+            key = last + 1;
+        }
+        return limit;
+    }
+
+    auto mean_utilization() const -> double
+    {
+        double rate = 0;
+        double capacity = 0;
+        for (const auto& [id, load] : loads_) {
+            rate += load.rate;
+            capacity += load.server.capacity;
+        }
+        return capacity > 0 ? rate / capacity : 0;
+    }
+
+    auto is_busy(const server_load& it, double mean) const -> bool
+    {
+        double sure = it.rate - confidence * heat_.deviation(it.rate);
+        double utilization = sure / std::max(0.001, it.server.capacity);
+        if (utilization > std::max(busy_utilization, busy_factor * mean)) {
+            return true;
+        }
+        return it.server.backlog > 2U * it.server.slots && it.utilization() > mean;
+    }
+
+    auto busiest(double mean) -> server_load*
+    {
+        server_load* out = nullptr;
+        for (auto& [id, load] : loads_) {
+            if (is_busy(load, mean) && !exhausted_.contains(id) &&
+                (out == nullptr || load.utilization() > out->utilization())) {
+                out = &load;
+            }
+        }
+        return out;
+    }
+
+    auto relieve_busy_servers() -> void
+    {
+        double mean = mean_utilization();
+        while (moves_.size() < range_planner::max_moves) {
+            auto* donor = busiest(mean);
+            if (donor == nullptr) {
+                return;
+            }
+            auto& target = least_loaded();
+            double excess = donor->rate - mean * donor->server.capacity;
+            double room = mean * target.server.capacity - target.rate;
+            double wanted = std::min(excess, room);
+            auto slice = wanted < min_slice_rate || &target == donor
+                             ? std::nullopt
+                             : narrowest_slice(donor->server.id, wanted);
+            if (!slice) {
+                exhausted_.emplace(donor->server.id, true);
+                continue;
+            }
+            auto rate = heat_.rate(*slice, now_);
+            // Moving a single busy group must not just move the problem.
+            if (rate > 1.5 * excess || (target.rate + rate) / target.server.capacity >
+                                           donor->utilization()) {
+                exhausted_.emplace(donor->server.id, true);
+                continue;
+            }
+            take(*slice, *donor, rate);
+            move(*slice, target);
+        }
+    }
+
+    /// A server that joined gets a share of the busiest one, however balanced the rest is.
+    auto fill_empty_servers() -> void
+    {
+        for (auto& [id, load] : loads_) {
+            if (load.keys > 0 || moves_.size() >= range_planner::max_moves) {
+                continue;
+            }
+            auto more = [](const auto& left, const auto& right) {
+                return left.second.utilization() < right.second.utilization();
+            };
+            auto& donor = std::max_element(loads_.begin(), loads_.end(), more)->second;
+            double wanted = std::min(donor.rate / 2, mean_utilization() * load.server.capacity);
+            auto slice = wanted < min_slice_rate ? std::nullopt
+                                                 : narrowest_slice(donor.server.id, wanted);
+            if (slice) {
+                take(*slice, donor, heat_.rate(*slice, now_));
+                move(*slice, load);
+            }
+        }
+    }
+
+    auto take(key_range slice, server_load& donor, double rate) -> void
+    {
+        donor.rate -= rate;
+        donor.keys -= std::min(donor.keys, slice.size());
+        taken_.push_back(slice);
+    }
+
+    auto is_taken(std::uint32_t first, std::uint32_t last) const -> bool
+    {
+        return std::ranges::any_of(taken_, [&](const key_range& it) {
+            return first <= it.last && it.first <= last;
+        });
+    }
+
+    /// Narrowest run of groups of one of the owner's ranges that carries about `wanted`.
+    auto narrowest_slice(const server_id& owner, double wanted) const -> std::optional<key_range>
+    {
+        std::optional<key_range> best;
+        for (const auto& it : ranges_) {
+            if (it.is_moving || it.owner != owner) {
+                continue;
+            }
+            consider_range(it.keys, wanted, best);
+        }
+        return best;
+    }
+
+    auto consider_range(key_range keys, double wanted, std::optional<key_range>& best) const -> void
+    {
+        double least = wanted * slice_tolerance;
+        std::uint32_t from = keys.first / key_heat::group_keys;
+        double sum = 0;
+        for (std::uint32_t to = from; to <= keys.last / key_heat::group_keys; ++to) {
+            if (is_taken(to * key_heat::group_keys, to * key_heat::group_keys + key_heat::group_keys - 1)) {
+                from = to + 1;
+                sum = 0;
+                continue;
+            }
+            sum += rates_[to];
+            while (from < to && sum - rates_[from] >= least) {
+                sum -= rates_[from++];
+            }
+            if (sum < least) {
+                continue;
+            }
+            auto first = std::max<std::uint32_t>(keys.first, from * key_heat::group_keys);
+            auto last = std::min<std::uint32_t>(
+                keys.last, to * key_heat::group_keys + key_heat::group_keys - 1);
+            key_range slice{static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(last)};
+            if (!best || slice.size() < best->size()) {
+                best = slice;
+            }
+        }
+    }
+
+    const std::vector<planned_range>& ranges_;
+    const key_heat& heat_;
+    std::vector<double> rates_;
+    time_point now_;
+    std::map<server_id, server_load> loads_;
+    std::map<server_id, bool> exhausted_;
+    std::vector<key_range> taken_;
+    std::vector<range_move> moves_;
+};
+
+} // namespace
+
+auto range_planner::plan(const std::vector<planned_server>& servers,
+                         const std::vector<planned_range>& ranges, const key_heat& heat,
+                         time_point now) const -> std::vector<range_move>
+{
+    return plan_builder{servers, ranges, heat, now}.build();
+}
+
+} // namespace cornelswitch
