Record a lapsed lease before its keys are granted again

A server that was cut off did not answer the release of a range, so the range moved after its lease had lapsed. All instances were killed before that was recorded. The next coordinator found the old owner in the record, and the old owner, which had never seen the higher token, took the renewal.

Conclusion: an answered release fences the old owner, a lapse does not; the record has to.

--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -254,17 +254,18 @@
 
 auto service_runtime::record_ranges(time_point now) -> void
 {
-    if (!ranges_ || now < next_record_ || !record_) {
+    if (!ranges_ || !record_ || (now < next_record_ && !ranges_->authority().needs_record())) {
         return;
     }
     bool is_sole = ranges_->authority().is_sole(now);
-    if (ranges_->authority().revision() == recorded_revision_ && is_sole == record_->is_sole) {
+    auto& authority = ranges_->authority();
+    if (authority.revision() == recorded_revision_ && is_sole == record_->is_sole) {
         return;
     }
-    auto ranges = ranges_->authority().recorded();
-    recorded_revision_ = ranges_->authority().revision();
+    recorded_revision_ = authority.revision();
     next_record_ = now + record_interval;
-    if (ranges == record_->ranges && is_sole == record_->is_sole) {
+    if (authority.recorded() == record_->ranges && is_sole == record_->is_sole) {
+        authority.on_recorded(recorded_revision_, now);
         return;
     }
     context_.store.write(
@@ -275,14 +276,16 @@
             }
             auto next = *record_;
             next.ranges = ranges_->authority().recorded();
+            written_ranges_ = ranges_->authority().revision();
             next.is_sole = ranges_->authority().is_sole(context_.time.now());
             next.revision = ++write_revision_;
             written_ = next;
             return encode_ownership_record(next);
         },
         [this, alive = alive_] {
-            if (*alive && is_coordinator_ && written_) {
+            if (*alive && is_coordinator_ && written_ && ranges_) {
                 record_ = written_;
+                ranges_->authority().on_recorded(written_ranges_, context_.time.now());
             }
         });
 }
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -123,6 +123,8 @@
     std::uint64_t write_revision_{0};
     /// Record of the last write, until it is known whether it was stored.
     std::optional<ownership_record> written_;
+    /// Revision of the ranges in it.
+    std::uint64_t written_ranges_{0};
 
     std::unordered_map<std::uint64_t, pending_request> pending_;
     std::unordered_map<std::uint64_t, admitted_request> admitted_;
--- a/ownership/range_authority.cpp
+++ b/ownership/range_authority.cpp
@@ -59,10 +59,14 @@
     server_id previous;
     time_point previous_lapse{};
     fencing_token release_token;
+    /// The previous server confirmed the release, or its process has ended.
+    bool is_released{false};
     std::string handover;
     /// Time before which nobody may be granted the keys.
     time_point free_at{};
     time_point next_action{};
+    /// Revision that must be recorded before the keys are granted again; 0 when none.
+    std::uint64_t record_before_grant{0};
     /// Number of the call in flight; 0 when there is none.
     std::uint64_t call{0};
     time_point call_started{};
@@ -223,6 +227,7 @@
     for (auto& [first, it] : ranges_) {
         if (it.phase == range_phase::releasing && it.previous == server &&
             it.incarnation == incarnation) {
+            it.is_released = true;
             it.previous_lapse = now;
             it.next_action = now;
         }
@@ -326,6 +331,7 @@
         auto last_arrival = found.call != 0 ? now + settings_.call_timeout : found.last_grant;
         found.previous_lapse = lapse_of(std::max(found.last_grant, last_arrival));
         found.release_token = take_token();
+        found.is_released = false;
         found.handover.clear();
         found.call = 0;
         found.target = target;
@@ -445,6 +451,7 @@
         return;
     }
     it->handover = outcome.has_value() ? outcome.value() : std::string{};
+    it->is_released = true;
     it->previous_lapse = now;
     it->next_action = now;
     step(*it, now);
@@ -458,9 +465,23 @@
     it.is_granted = false;
     it.handover.clear();
     set_phase(it, it.free_at > now ? range_phase::waiting : range_phase::unowned, event);
+    it.record_before_grant = revision_;
     it.owner = {};
 }
 
+auto range_authority::on_recorded(std::uint64_t revision, time_point now) -> void
+{
+    recorded_revision_ = std::max(recorded_revision_, revision);
+    tick(now);
+}
+
+auto range_authority::needs_record() const -> bool
+{
+    return std::ranges::any_of(ranges_, [&](const auto& it) {
+        return it.second.record_before_grant > recorded_revision_;
+    });
+}
+
 auto range_authority::step(range& it, time_point now) -> void
 {
     if (it.call != 0 || now < it.next_action) {
@@ -492,6 +513,13 @@
     case range_phase::releasing:
         if (now >= std::max(it.previous_lapse, it.unsure_until)) {
             auto known = it.target ? servers_.find(*it.target) : servers_.end();
+            if (!it.is_released) {
+                it.free_at = now;
+                it.owner = {};
+                set_phase(it, range_phase::unowned, "release-unanswered");
+                it.record_before_grant = revision_;
+                return;
+            }
             if (known == servers_.end() || !may_move(now)) {
                 it.free_at = now;
                 it.owner = {};
@@ -520,7 +548,8 @@
         set_phase(it, range_phase::unowned, "lapsed");
         [[fallthrough]];
     case range_phase::unowned:
-        if (!it.target || !servers_.contains(*it.target) || !may_move(now)) {
+        if (!it.target || !servers_.contains(*it.target) || !may_move(now) ||
+            it.record_before_grant > recorded_revision_) {
             return;
         }
         it.owner = *it.target;
@@ -531,6 +560,7 @@
         it.is_adopted = false;
         it.last_grant = now;
         it.previous = {};
+        it.record_before_grant = 0;
         set_phase(it, range_phase::granting, "assigned");
         start_grant(it, now);
         return;
@@ -559,6 +589,7 @@
         // One lease over both needs a token above the two it replaces.
         left.keys.last = right.keys.last;
         left.last_grant = std::max(left.last_grant, right.last_grant);
+        left.confirmed_grant = std::min(left.confirmed_grant, right.confirmed_grant);
         left.needs_token = true;
         left.next_action = now;
         ranges_.erase(next);
--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -72,6 +72,8 @@
 ///   or after every lease that anybody may have granted it has lapsed.
 /// - Tokens only rise. A release carries a token above the lease's, so the server refuses later
 ///   renewals by a coordinator that has been replaced.
+/// - A range that was taken from a server which did not answer is granted again only after the
+///   store's record no longer names that server, since it would accept a successor's renewal.
 /// - After a take-over, a range whose recorded owner does not confirm the lease stays free of
 ///   owners until the predecessor's last possible renewal has lapsed.
 ///
@@ -133,6 +135,10 @@
     auto recorded() const -> std::vector<recorded_range>;
     /// Rises with every change of what `recorded` returns.
     auto revision() const -> std::uint64_t { return revision_; }
+    /// The store holds what `recorded` returned at `revision`.
+    auto on_recorded(std::uint64_t revision, time_point now) -> void;
+    /// Whether a range waits for a record.
+    auto needs_record() const -> bool;
     auto has_tokens() const -> bool { return next_token_.value() + token_reserve < token_limit_.value(); }
     auto extend_tokens(fencing_token limit) -> void { token_limit_ = limit; }
     auto next_token() const -> fencing_token { return next_token_; }
@@ -172,6 +178,7 @@
     time_point confirmed_at_{};
     std::uint64_t last_call_{0};
     std::uint64_t revision_{0};
+    std::uint64_t recorded_revision_{0};
     double failed_share_{0};
     bool stopped_{false};
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
