End lease calls with their channel, and ignore renewals overtaken by a partial release

A lease call whose time ran out in the queue of a slowed machine reported through a timer that outlived the channel and its coordinator. A renewal of a whole range was refused because the release of a slice had raised the server's token; the range was taken for lost, and its keys were granted again after the predecessor's lapse, though this coordinator's own lease had not lapsed. Cause 3: after a failed append the topic was read with a 15 s wait though it was up to date, which left a service without coordinator for 15 s.

Ruled out: h2o (the stack ends in lease_channel::next); a second coordinator (one term).

--- a/gateway/ownership_store.cpp
+++ b/gateway/ownership_store.cpp
@@ -70,11 +70,16 @@
                 .text("cause", outcome.has_error() ? outcome.error().message : "partition moved on");
             // The read shows whether the append took effect after all, or who was first. The value
             // function then decides whether to write again.
-            needs_read_ = true;
+            bool is_read = outcome.has_value() && outcome.value().end <= copy_->end();
             bool is_replaced = std::ranges::find(queue_, it.key, &pending::key) != queue_.end();
             if (!is_replaced) {
                 queue_.push_front(std::move(it));
             }
+            if (is_read) {
+                next();
+                return;
+            }
+            needs_read_ = true;
             copy_->hurry();
         });
 }
--- a/gateway/range_coordinator.cpp
+++ b/gateway/range_coordinator.cpp
@@ -40,6 +40,11 @@
     grants_.set_connection_lost(std::move(on_lost));
 }
 
+lease_channel::~lease_channel()
+{
+    *alive_ = false;
+}
+
 auto lease_channel::grant(http_request request, time_point deadline, unary_client::handler done)
     -> void
 {
--- a/gateway/range_coordinator.h
+++ b/gateway/range_coordinator.h
@@ -17,6 +17,10 @@
 class lease_channel {
 public:
     lease_channel(event_loop& loop, const endpoint& address, std::function<void()> on_lost);
+    lease_channel(const lease_channel&) = delete;
+    auto operator=(const lease_channel&) -> lease_channel& = delete;
+    /// Drops all calls without an outcome.
+    ~lease_channel();
 
     /// `deadline` bounds the time in the queue and the call.
     auto grant(http_request request, time_point deadline, unary_client::handler done) -> void;
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -203,13 +203,6 @@
     if (has_live_predecessor) {
         ask_predecessor(*predecessor_, mine.term);
     }
-    auto pending = pending_;
-    for (auto& [id, it] : pending) {
-        if (it.is_remote) {
-            pending_[id].is_remote = false;
-            scheduler_.submit(it.request, now);
-        }
-    }
 }
 
 auto service_runtime::step_down(std::string_view cause) -> void
--- a/gateway/store_topic.cpp
+++ b/gateway/store_topic.cpp
@@ -1,6 +1,7 @@
 #include "gateway/store_topic.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cornelswitch {
 
@@ -40,9 +41,10 @@
 
 auto store_topic::hurry() -> void
 {
-    if (!is_reading_) {
-        schedule(duration::zero());
-    }
+    is_hurried_ = true;
+    is_reading_ = false;
+    ++read_number_;
+    schedule(duration::zero());
 }
 
 auto store_topic::read() -> void
@@ -51,6 +53,7 @@
         return;
     }
     is_reading_ = true;
+    ++read_number_;
     read_started_ = loop_.now();
     if (is_loaded_) {
         read_log();
@@ -65,8 +68,9 @@
     auto request = store_codec::newest_request(options_.topic, after);
     auto is_first = after.empty();
     store_.call(std::move(request), answer_timeout,
-                [this, is_first, alive = alive_](result<http_response> answer) {
-                    if (!*alive) {
+                [this, is_first, number = read_number_,
+                 alive = alive_](result<http_response> answer) {
+                    if (!*alive || number != read_number_) {
                         return;
                     }
                     if (answer.has_error()) {
@@ -113,10 +117,10 @@
 auto store_topic::read_log() -> void
 {
     auto from = next_;
-    store_.call(store_codec::read_request(options_.topic, from, options_.wait),
-                options_.wait + answer_timeout,
-                [this, from, alive = alive_](result<http_response> answer) {
-                    if (!*alive) {
+    auto wait = std::exchange(is_hurried_, false) ? duration::zero() : options_.wait;
+    store_.call(store_codec::read_request(options_.topic, from, wait), wait + answer_timeout,
+                [this, from, number = read_number_, alive = alive_](result<http_response> answer) {
+                    if (!*alive || number != read_number_) {
                         return;
                     }
                     if (answer.has_error()) {
--- a/gateway/store_topic.h
+++ b/gateway/store_topic.h
@@ -46,7 +46,7 @@
     ~store_topic();
 
     auto start() -> void;
-    /// Reads at once unless a read is in progress that the store does not hold.
+    /// Reads at once, without waiting for a record. A read in progress is given up.
     auto hurry() -> void;
     auto set_wait(duration wait) -> void { options_.wait = wait; }
     auto set_pace(duration pace) -> void { options_.pace = pace; }
@@ -81,6 +81,9 @@
     bool is_available_{false};
     bool has_reported_{false};
     bool is_reading_{false};
+    bool is_hurried_{false};
+    /// Number of the current read; answers to earlier ones are ignored.
+    std::uint64_t read_number_{0};
     time_point read_started_{};
     time_point last_read_{};
     duration failure_pause_{0};
--- a/ownership/range_authority.cpp
+++ b/ownership/range_authority.cpp
@@ -285,15 +285,18 @@
         return;
     }
     range right = left;
+    right.next_action = time_.now();
     right.keys.first = first;
     left.keys.last = static_cast<std::uint16_t>(first - 1);
     if (right.call != 0) {
         // A renewal in flight was for the whole range and may arrive until it is given up.
         right.last_grant = std::max(right.last_grant, time_.now() + settings_.call_timeout);
         left.last_grant = right.last_grant;
+        // Its answer says nothing about one part: a release of the other may have overtaken it.
+        left.call = 0;
+        left.next_action = right.next_action;
     }
     right.call = 0;
-    right.next_action = time_.now();
     ranges_.emplace(first, std::move(right));
     ++revision_;
 }
@@ -415,8 +418,8 @@
     }
     if (it->is_adopted || now < lapse_of(predecessor_ends_)) {
         // The predecessor moved the range without recording it; its owner is unknown.
-        it->free_at = lapse_of(predecessor_ends_);
-        it->unsure_until = it->free_at;
+        it->free_at = lapse_of(std::max(predecessor_ends_, it->last_grant));
+        it->unsure_until = lapse_of(predecessor_ends_);
         it->is_granted = false;
         set_phase(*it, range_phase::waiting, "adoption-refused");
         it->owner = {};
@@ -484,6 +487,11 @@
 
 auto range_authority::step(range& it, time_point now) -> void
 {
+    if (it.call != 0 && now >= it.call_started + settings_.lost_call) {
+        // The connection was replaced with the call on it.
+        it.call = 0;
+        it.last_grant = std::max(it.last_grant, now);
+    }
     if (it.call != 0 || now < it.next_action) {
         if (it.phase == range_phase::releasing &&
             now >= std::max(it.previous_lapse, it.unsure_until)) {
--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -32,6 +32,8 @@
     duration lapse_margin{std::chrono::milliseconds{200}};
     /// Time after which a call to a server is given up.
     duration call_timeout{std::chrono::milliseconds{800}};
+    /// Time after which a call without any outcome is forgotten; above every timeout of a call.
+    duration lost_call{std::chrono::milliseconds{3500}};
     /// Pause between two attempts of a failed call.
     duration retry_pause{std::chrono::milliseconds{250}};
 };
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -319,6 +319,10 @@
 auto admission_scheduler::withdraw(admission_source source, admission_id id) -> void
 {
     std::erase_if(queue_, [&](const auto& it) { return it.source == source && it.id == id; });
+    if (is_dispatching_) {
+        // The request may be in the part of the queue that is being worked on.
+        withdrawn_.emplace_back(source, id);
+    }
 }
 
 auto admission_scheduler::adopt(admission_source source, admission_id id, const server_id& server,
@@ -444,7 +448,11 @@
     kept.reserve(queue_.size());
     auto pending = std::move(queue_);
     queue_.clear();
+    withdrawn_.clear();
     for (auto& it : pending) {
+        if (std::ranges::find(withdrawn_, running_key{it.source, it.id}) != withdrawn_.end()) {
+            continue;
+        }
         server_state* server = nullptr;
         if (it.key && settings_.is_keyed && owner_of_) {
             auto owner = owner_of_(*it.key);
@@ -461,6 +469,9 @@
             kept.push_back(std::move(it));
         }
     }
+    std::erase_if(kept, [&](const auto& it) {
+        return std::ranges::find(withdrawn_, running_key{it.source, it.id}) != withdrawn_.end();
+    });
     // Decisions may have submitted more requests meanwhile.
     kept.insert(kept.end(), std::make_move_iterator(queue_.begin()),
                 std::make_move_iterator(queue_.end()));
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -218,6 +218,7 @@
     /// Server that a source could not connect to, and when it may be tried again.
     std::map<std::pair<admission_source, server_id>, time_point> unreachable_;
     bool is_dispatching_{false};
+    std::vector<running_key> withdrawn_;
 };
 
 } // namespace cornelswitch
