Hold reads of the operators' topic for 1.2 s instead of 15 s

One instance saw a configuration and an evacuation only after a held read of 15 s had ended or its connection had been given up: a held read cannot be told from a silent connection, and keep-alive probes did not end it within the bound.

Ruled out: a lost record (it was read later); a configuration that was refused (no log line).

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -22,9 +22,13 @@
 /// Heartbeats of servers come many times a second, so they are read in batches. A server that
 /// leaves must get no request two seconds later, which leaves three of these intervals.
 constexpr duration server_pace = milliseconds{600};
-/// Configuration changes are rare; the store holds the read until one comes.
-constexpr duration operator_wait = seconds{15};
+/// The store holds the read until a record comes. The wait is short, because a held read shows a
+/// silent connection only by its end, and a configuration must be in force within two seconds.
+constexpr duration operator_wait = milliseconds{1200};
+constexpr duration operator_answer_timeout = milliseconds{700};
 constexpr duration own_wait = seconds{15};
+/// A doubted coordinator makes an instance read the records at most this often.
+constexpr duration refresh_interval = milliseconds{900};
 constexpr duration own_pace = milliseconds{900};
 /// A coordinator needs proof of its role within `unconfirmed_moves`.
 constexpr duration coordinator_wait = milliseconds{1000};
@@ -83,6 +87,13 @@
                        it->second->link->send(message);
                    }
                },
+               [this] {
+                   auto now = loop_.now();
+                   if (own_topic_ && now >= next_refresh_) {
+                       next_refresh_ = now + refresh_interval;
+                       own_topic_->hurry();
+                   }
+               },
                [this] { return instances(); },
                [this] {
                    std::set<instance_id> nodes{settings_.node};
@@ -165,7 +176,8 @@
     for_operator.on_read = [this](const auto& changes, time_point) { on_operator_records(changes); };
     operator_topic_ = std::make_unique<store_topic>(
         loop_, store_, log_,
-        topic_options{std::string{operator_topic_name()}, operator_wait, milliseconds{100}},
+        topic_options{std::string{operator_topic_name()}, operator_wait, milliseconds{100},
+                      operator_answer_timeout},
         std::move(for_operator));
     store_topic::hooks for_servers;
     for_servers.on_read = [this](const auto& changes, time_point) { on_server_records(changes); };
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -116,6 +116,7 @@
     bool is_announced_{false};
     time_point next_join_{};
     time_point next_slow_tick_{};
+    time_point next_refresh_{};
     std::uint64_t seen_directory_revision_{0};
     std::uint32_t seen_instances_{0};
     time_point shutdown_started_{};
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -409,6 +409,9 @@
     next_connect_ = context_.time.now() + reconnect_pause;
     context_.log.line("coordinator-lost").text("service", service_.name.value()).text("cause", cause);
     context_.metrics.count("coordinator_links_lost_total");
+    if (!is_coordinator_) {
+        context_.refresh();
+    }
     std::vector<admission_request> again;
     for (auto& [id, it] : pending_) {
         if (it.is_remote) {
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -31,6 +31,8 @@
     boot_id boot;
     /// Sends a message to the instance that asked with this source.
     std::function<void(admission_source, const peer_message&)> answer;
+    /// Reads the records of services again soon.
+    std::function<void()> refresh;
     /// Instances that are known, this one included.
     std::function<std::uint32_t()> instances;
     /// Instances that are connected to this one, itself included.
--- a/gateway/store_topic.cpp
+++ b/gateway/store_topic.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// An answer that the store does not hold back comes within this time, or the store is down.
-constexpr duration answer_timeout = std::chrono::milliseconds{1500};
 /// Pause after a failed read; it grows so that a store that is down gets few calls.
 constexpr duration first_failure_pause = std::chrono::milliseconds{150};
 constexpr duration longest_failure_pause = std::chrono::milliseconds{600};
@@ -67,7 +65,7 @@
 {
     auto request = store_codec::newest_request(options_.topic, after);
     auto is_first = after.empty();
-    store_.call(std::move(request), answer_timeout,
+    store_.call(std::move(request), options_.answer_timeout,
                 [this, is_first, number = read_number_,
                  alive = alive_](result<http_response> answer) {
                     if (!*alive || number != read_number_) {
@@ -118,7 +116,7 @@
 {
     auto from = next_;
     auto wait = std::exchange(is_hurried_, false) ? duration::zero() : options_.wait;
-    store_.call(store_codec::read_request(options_.topic, from, wait), wait + answer_timeout,
+    store_.call(store_codec::read_request(options_.topic, from, wait), wait + options_.answer_timeout,
                 [this, from, number = read_number_, alive = alive_](result<http_response> answer) {
                     if (!*alive || number != read_number_) {
                         return;
--- a/gateway/store_topic.h
+++ b/gateway/store_topic.h
@@ -18,6 +18,9 @@
     duration wait{0};
     /// Shortest time between the starts of two reads, so that frequent records are read together.
     duration pace{std::chrono::milliseconds{200}};
+    /// An answer that the store does not hold back comes within this time, or the connection has
+    /// gone silent or the store is down.
+    duration answer_timeout{std::chrono::milliseconds{1200}};
 };
 
 /// Keeps a copy of the newest records of a keyed topic.
