--- a/adapters/http1/message_parser.cpp
+++ b/adapters/http1/message_parser.cpp
@@ -80,7 +80,8 @@
             self.head.method = http_method_str(static_cast<http_method>(it->method));
         }
         for (auto& field : self.head.headers) {
-            while (!field.value.empty() && (field.value.back() == ' ' || field.value.back() == '\t')) {
+            while (!field.value.empty() &&
+                   (field.value.back() == ' ' || field.value.back() == '\t')) {
                 field.value.pop_back();
             }
         }
@@ -183,8 +184,7 @@
     if (state_->header_bytes > state_->max_header_bytes || err == HPE_HEADER_OVERFLOW) {
         return error{error_code::too_large, "http-parse", {}, "header section too large"};
     }
-    return error{error_code::invalid_message, "http-parse", {},
-                 http_errno_description(err)};
+    return error{error_code::invalid_message, "http-parse", {}, http_errno_description(err)};
 }
 
 auto http1_parser::finish() -> bool
--- a/gateway/backend_directory.cpp
+++ b/gateway/backend_directory.cpp
@@ -58,9 +58,9 @@
                       known->second.entry.cold_left > duration::zero() ||
                       entry.cold_left > duration::zero() || known->second.leaves_at ||
                       known->second.entry.slots != entry.slots;
-    bool is_news = !is_same || known->second.entry.is_draining != entry.is_draining ||
-                   (known->second.entry.cold_left > duration::zero()) !=
-                       (entry.cold_left > duration::zero());
+    bool is_news =
+        !is_same || known->second.entry.is_draining != entry.is_draining ||
+        (known->second.entry.cold_left > duration::zero()) != (entry.cold_left > duration::zero());
     if (is_news) {
         log_.line("server-entry")
             .text("server", id)
--- a/gateway/caller_connection.cpp
+++ b/gateway/caller_connection.cpp
@@ -138,7 +138,8 @@
     is_rejected_ = false;
     bool expects_continue = find_header(head.headers, "expect") != nullptr;
     bool has_body = head.framing != body_framing::none;
-    bool is_too_large = head.framing == body_framing::length && head.length > limits_.max_body_bytes;
+    bool is_too_large =
+        head.framing == body_framing::length && head.length > limits_.max_body_bytes;
     bool keeps = head.keeps_alive;
     auto it = std::make_shared<exchange>(services_, std::move(head), make_output(weak_from_this()));
     *last_slot_ = it.get();
--- a/gateway/event_log.cpp
+++ b/gateway/event_log.cpp
@@ -115,8 +115,8 @@
     if (!admit()) {
         return {nullptr, {}};
     }
-    auto now = std::chrono::duration_cast<std::chrono::microseconds>(
-        time_.wall_now().time_since_epoch());
+    auto now =
+        std::chrono::duration_cast<std::chrono::microseconds>(time_.wall_now().time_since_epoch());
     std::string start;
     start.reserve(320);
     std::array<char, 64> text{};
@@ -138,8 +138,8 @@
 auto event_log::flush() -> void
 {
     if (dropped_ > reported_dropped_ && fd_ >= 0) {
-        buffer_.append("{\"event\":\"log-dropped\",\"lines\":" + std::to_string(dropped_ - reported_dropped_) +
-                       "}\n");
+        buffer_.append("{\"event\":\"log-dropped\",\"lines\":" +
+                       std::to_string(dropped_ - reported_dropped_) + "}\n");
         reported_dropped_ = dropped_;
     }
     while (!buffer_.empty() && fd_ >= 0) {
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -238,7 +238,8 @@
         return;
     }
     bool is_success = response_.status >= 200 && response_.status < 300;
-    bool is_unusable = info.is_encoded || (is_success && (info.request_id.empty() || !info.is_sealed));
+    bool is_unusable =
+        info.is_encoded || (is_success && (info.request_id.empty() || !info.is_sealed));
     if (is_unusable) {
         attempt_->cancel();
         on_failure(attempt_outcome::broken, false, "response is not the server's own");
@@ -291,8 +292,8 @@
         return;
     }
     report(attempt_outcome::answered);
-    bool is_refusal_status = response_.status == 503 || response_.status == 429 ||
-                             response_.status == 408;
+    bool is_refusal_status =
+        response_.status == 503 || response_.status == 429 || response_.status == 408;
     if (!is_committed_ && is_refusal_status && !may_repeat()) {
         // Callers take these for a promise that the request did not run; the server gave none.
         respond(502, "server-error", std::nullopt);
@@ -493,7 +494,10 @@
     attempt_.reset();
     auto total = services_.loop.now() - received_;
     auto line = services_.log.line("request");
-    line.text("id", info_.id).text("outcome", outcome).number("status", status).ms("total_ms", total);
+    line.text("id", info_.id)
+        .text("outcome", outcome)
+        .number("status", status)
+        .ms("total_ms", total);
     if (!cause.empty()) {
         line.text("cause", cause);
     }
@@ -510,9 +514,10 @@
     if (info_.key && is_keyed_) {
         line.number("key", *info_.key);
     }
-    services_.metrics.count("outcome_" + std::string{outcome == "caller-left"    ? "caller_left"
-                                                     : outcome == "response-cut" ? "response_cut"
-                                                                                 : outcome} +
+    services_.metrics.count("outcome_" +
+                            std::string{outcome == "caller-left"    ? "caller_left"
+                                        : outcome == "response-cut" ? "response_cut"
+                                                                    : outcome} +
                             "_total");
     if (auto done = std::exchange(output_.finish, nullptr)) {
         done(keeps_connection_);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -127,13 +127,11 @@
 
 auto gateway::open_listeners() -> result<void>
 {
-    BOOST_OUTCOME_TRY(callers, listener::open(loop_, settings_.callers, [this](auto* socket) {
-                          accept_caller(socket);
-                      }));
+    BOOST_OUTCOME_TRY(callers, listener::open(loop_, settings_.callers,
+                                              [this](auto* socket) { accept_caller(socket); }));
     caller_listener_ = std::move(callers);
-    BOOST_OUTCOME_TRY(peers, listener::open(loop_, settings_.peers, [this](auto* socket) {
-                          accept_peer(socket);
-                      }));
+    BOOST_OUTCOME_TRY(peers, listener::open(loop_, settings_.peers,
+                                            [this](auto* socket) { accept_peer(socket); }));
     peer_listener_ = std::move(peers);
     auto answer = [this](const std::string& path) { return status(path); };
     BOOST_OUTCOME_TRY(ready, status_server::open(loop_, settings_.readiness, answer));
@@ -173,7 +171,9 @@
 auto gateway::make_topics() -> void
 {
     store_topic::hooks for_operator;
-    for_operator.on_read = [this](const auto& changes, time_point) { on_operator_records(changes); };
+    for_operator.on_read = [this](const auto& changes, time_point) {
+        on_operator_records(changes);
+    };
     operator_topic_ = std::make_unique<store_topic>(
         loop_, store_, log_,
         topic_options{std::string{operator_topic_name()}, operator_wait, milliseconds{100},
@@ -192,9 +192,9 @@
     for_own.on_read = [this](const auto& changes, time_point proof) {
         on_own_records(changes, proof);
     };
-    own_topic_ = std::make_unique<store_topic>(loop_, store_, log_,
-                                               topic_options{std::string{own_topic}, own_wait, own_pace},
-                                               std::move(for_own));
+    own_topic_ = std::make_unique<store_topic>(
+        loop_, store_, log_, topic_options{std::string{own_topic}, own_wait, own_pace},
+        std::move(for_own));
     ownership_.attach(*own_topic_);
     operator_topic_->start();
     server_topic_->start();
@@ -238,9 +238,8 @@
     }
     log_.line("configuration")
         .number("version", static_cast<std::int64_t>(next.version))
-        .number("earlier", configuration_
-                               ? static_cast<std::int64_t>(configuration_->content.version)
-                               : 0)
+        .number("earlier",
+                configuration_ ? static_cast<std::int64_t>(configuration_->content.version) : 0)
         .number("routes", static_cast<std::int64_t>(next.routes.size()))
         .number("services", static_cast<std::int64_t>(next.services.size()));
     auto active = std::make_shared<active_configuration>();
@@ -297,7 +296,9 @@
         auto* service = runtime(name);
         auto record = decode_ownership_record(it.value);
         if (record.has_error()) {
-            log_.line("ownership-malformed").text("key", it.key).text("cause", record.error().message);
+            log_.line("ownership-malformed")
+                .text("key", it.key)
+                .text("cause", record.error().message);
             continue;
         }
         if (service != nullptr) {
@@ -361,9 +362,8 @@
                         return;
                     }
                     is_joining_ = false;
-                    auto membership = answer.has_value()
-                                          ? store_codec::decode_join(answer.value())
-                                          : result<group_membership>{answer.error()};
+                    auto membership = answer.has_value() ? store_codec::decode_join(answer.value())
+                                                         : result<group_membership>{answer.error()};
                     if (membership.has_error()) {
                         // Without an answer the duties end with the membership's time to live.
                         if (loop_.now() > membership_until_ && !partitions_.empty()) {
@@ -517,8 +517,8 @@
     }
 }
 
-auto gateway::on_key_not_held(const service_id& service, const server_id& server,
-                              std::uint16_t key) -> void
+auto gateway::on_key_not_held(const service_id& service, const server_id& server, std::uint16_t key)
+    -> void
 {
     if (auto* it = runtime(service)) {
         it->on_key_not_held(server, key);
@@ -579,9 +579,8 @@
         next_slow_tick_ = now + slow_tick_interval;
         slow_tick(now);
     }
-    bool is_active = std::ranges::any_of(runtimes_, [](const auto& it) {
-        return it.second->is_active();
-    });
+    bool is_active =
+        std::ranges::any_of(runtimes_, [](const auto& it) { return it.second->is_active(); });
     tick_timer_ = loop_.schedule(is_active ? active_tick : idle_tick, [this] { tick(); });
 }
 
--- a/gateway/ownership_store.cpp
+++ b/gateway/ownership_store.cpp
@@ -50,38 +50,39 @@
     ++writes_;
     auto expected = std::max(copy_->end(), own_end_);
     auto request = store_codec::append_request(topic_, expected, it.key, *value);
-    store_.call(
-        std::move(request), append_timeout,
-        [this, it = std::move(it), alive = alive_](result<http_response> answer) mutable {
-            if (!*alive) {
-                return;
-            }
-            is_busy_ = false;
-            auto outcome = answer.has_value() ? store_codec::decode_append(answer.value())
-                                              : result<store_append_result>{answer.error()};
-            if (outcome.has_value() && outcome.value().is_stored) {
-                own_end_ = outcome.value().end;
-                it.done();
-                next();
-                return;
-            }
-            log_.line("store-append-failed")
-                .text("key", it.key)
-                .text("cause", outcome.has_error() ? outcome.error().message : "partition moved on");
-            // The read shows whether the append took effect after all, or who was first. The value
-            // function then decides whether to write again.
-            bool is_read = outcome.has_value() && outcome.value().end <= copy_->end();
-            bool is_replaced = std::ranges::find(queue_, it.key, &pending::key) != queue_.end();
-            if (!is_replaced) {
-                queue_.push_front(std::move(it));
-            }
-            if (is_read) {
-                next();
-                return;
-            }
-            needs_read_ = true;
-            copy_->hurry();
-        });
+    store_.call(std::move(request), append_timeout,
+                [this, it = std::move(it), alive = alive_](result<http_response> answer) mutable {
+                    if (!*alive) {
+                        return;
+                    }
+                    is_busy_ = false;
+                    auto outcome = answer.has_value() ? store_codec::decode_append(answer.value())
+                                                      : result<store_append_result>{answer.error()};
+                    if (outcome.has_value() && outcome.value().is_stored) {
+                        own_end_ = outcome.value().end;
+                        it.done();
+                        next();
+                        return;
+                    }
+                    log_.line("store-append-failed")
+                        .text("key", it.key)
+                        .text("cause",
+                              outcome.has_error() ? outcome.error().message : "partition moved on");
+                    // The read shows whether the append took effect after all, or who was first.
+                    // The value function then decides whether to write again.
+                    bool is_read = outcome.has_value() && outcome.value().end <= copy_->end();
+                    bool is_replaced =
+                        std::ranges::find(queue_, it.key, &pending::key) != queue_.end();
+                    if (!is_replaced) {
+                        queue_.push_front(std::move(it));
+                    }
+                    if (is_read) {
+                        next();
+                        return;
+                    }
+                    needs_read_ = true;
+                    copy_->hurry();
+                });
 }
 
 } // namespace cornelswitch
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -94,10 +94,10 @@
 struct peer_ping {};
 struct peer_pong {};
 
-using peer_message = std::variant<peer_hello, admission_query, admission_adopted,
-                                  admission_withdrawn, admission_completed, key_not_held,
-                                  server_ended, admission_answer, not_coordinator, role_superseded,
-                                  role_stopped, peer_ping, peer_pong>;
+using peer_message =
+    std::variant<peer_hello, admission_query, admission_adopted, admission_withdrawn,
+                 admission_completed, key_not_held, server_ended, admission_answer, not_coordinator,
+                 role_superseded, role_stopped, peer_ping, peer_pong>;
 
 /// Appends the message with its length to `out`.
 auto encode_peer_message(std::string& out, const peer_message& message) -> void;
--- a/gateway/range_coordinator.cpp
+++ b/gateway/range_coordinator.cpp
@@ -34,8 +34,8 @@
 
 lease_channel::lease_channel(event_loop& loop, const endpoint& address,
                              std::function<void()> on_lost)
-    : loop_{loop}, grants_{loop, address, channel_options()},
-      releases_{loop, address, channel_options()}
+    : loop_{loop}, grants_{loop, address, channel_options()}, releases_{loop, address,
+                                                                        channel_options()}
 {
     grants_.set_connection_lost(std::move(on_lost));
 }
@@ -106,9 +106,8 @@
 auto range_coordinator::make_hooks() -> range_authority::hooks
 {
     range_authority::hooks out;
-    out.grant = [this](const server_id& server, key_range keys, fencing_token token,
-                       duration lease, const std::string& handover,
-                       std::function<void(result<void>)> done) {
+    out.grant = [this](const server_id& server, key_range keys, fencing_token token, duration lease,
+                       const std::string& handover, std::function<void(result<void>)> done) {
         auto* to = channel(server);
         if (to == nullptr) {
             loop_.schedule(duration::zero(), [done = std::move(done)] {
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -33,8 +33,8 @@
 
 service_runtime::service_runtime(runtime_context& context, gateway_service service)
     : context_{context}, service_{std::move(service)},
-      scheduler_{{}, context.random,
-                 [this](const admission_decision& decision) { on_decision(decision); }}
+      scheduler_{
+          {}, context.random, [this](const admission_decision& decision) { on_decision(decision); }}
 {
     scheduler_.set_owner_lookup([this](std::uint16_t key) { return find_owner(key); });
     configure(service_);
@@ -90,8 +90,8 @@
 auto service_runtime::on_record(const std::optional<ownership_record>& record, time_point proof)
     -> void
 {
-    bool is_mine = record && record->coordinator == context_.settings.node &&
-                   record->boot == context_.boot;
+    bool is_mine =
+        record && record->coordinator == context_.settings.node && record->boot == context_.boot;
     bool is_new = record != record_;
     record_ = record;
     if (is_new) {
@@ -216,7 +216,9 @@
         context_.loop.schedule(duration::zero(), [old] {});
     }
     scheduler_.configure(admission_options());
-    context_.log.line("coordinator-stop").text("service", service_.name.value()).text("cause", cause);
+    context_.log.line("coordinator-stop")
+        .text("service", service_.name.value())
+        .text("cause", cause);
 }
 
 auto service_runtime::ask_predecessor(const ownership_record& predecessor, lease_term term) -> void
@@ -341,8 +343,8 @@
         drop_link("silent");
         return;
     }
-    bool needs_ping = silence > ping_after &&
-                      (last_ping_ == time_point{} || link_->last_heard() >= last_ping_);
+    bool needs_ping =
+        silence > ping_after && (last_ping_ == time_point{} || link_->last_heard() >= last_ping_);
     if (needs_ping) {
         last_ping_ = now;
         link_->send(peer_ping{});
@@ -360,7 +362,8 @@
                                 return;
                             }
                             is_connecting_ = false;
-                            bool is_current = record_ && record_->term == to.term && !is_coordinator_;
+                            bool is_current =
+                                record_ && record_->term == to.term && !is_coordinator_;
                             if (stream && is_current) {
                                 on_link(std::move(stream), to);
                             }
@@ -407,7 +410,9 @@
     context_.loop.schedule(duration::zero(), [old] {});
     is_link_usable_ = false;
     next_connect_ = context_.time.now() + reconnect_pause;
-    context_.log.line("coordinator-lost").text("service", service_.name.value()).text("cause", cause);
+    context_.log.line("coordinator-lost")
+        .text("service", service_.name.value())
+        .text("cause", cause);
     context_.metrics.count("coordinator_links_lost_total");
     if (!is_coordinator_) {
         context_.refresh();
@@ -431,8 +436,10 @@
         if (it == pending_.end()) {
             // The caller left meanwhile; the coordinator must not count the request for long.
             if (answer->outcome == admission_outcome::send && link_) {
-                link_->send(admission_completed{
-                    service_.name, answer->id, {attempt_outcome::canceled, duration::zero(), 0, 0, 0}});
+                link_->send(
+                    admission_completed{service_.name,
+                                        answer->id,
+                                        {attempt_outcome::canceled, duration::zero(), 0, 0, 0}});
             }
             return;
         }
@@ -479,8 +486,8 @@
     node.mapped().handler(decision);
 }
 
-auto service_runtime::request(admission_request request,
-                              admission_client::decision_handler handler) -> admission_id
+auto service_runtime::request(admission_request request, admission_client::decision_handler handler)
+    -> admission_id
 {
     auto now = context_.time.now();
     admission_id id{++last_id_};
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -104,7 +104,10 @@
     auto drop_link(std::string_view cause) -> void;
     auto check_link(time_point now) -> void;
     auto ask_predecessor(const ownership_record& predecessor, lease_term term) -> void;
-    auto has_link() const -> bool { return link_ != nullptr && link_->is_open() && is_link_usable_; }
+    auto has_link() const -> bool
+    {
+        return link_ != nullptr && link_->is_open() && is_link_usable_;
+    }
 
     runtime_context& context_;
     gateway_service service_;
--- a/gateway/store_topic.cpp
+++ b/gateway/store_topic.cpp
@@ -15,8 +15,8 @@
 
 store_topic::store_topic(event_loop& loop, unary_client& store, event_log& log,
                          topic_options options, hooks receivers)
-    : loop_{loop}, store_{store}, log_{log}, options_{std::move(options)},
-      hooks_{std::move(receivers)}
+    : loop_{loop}, store_{store}, log_{log}, options_{std::move(options)}, hooks_{
+                                                                               std::move(receivers)}
 {
 }
 
@@ -65,58 +65,59 @@
 {
     auto request = store_codec::newest_request(options_.topic, after);
     auto is_first = after.empty();
-    store_.call(std::move(request), options_.answer_timeout,
-                [this, is_first, number = read_number_,
-                 alive = alive_](result<http_response> answer) {
-                    if (!*alive || number != read_number_) {
-                        return;
-                    }
-                    if (answer.has_error()) {
-                        on_failure(answer.error());
-                        return;
-                    }
-                    auto page = store_codec::decode_newest(answer.value());
-                    if (page.has_error()) {
-                        on_failure(page.error());
-                        return;
-                    }
-                    // Pages are no snapshot: what changes meanwhile is read again from the end of
-                    // the first one.
-                    if (is_first) {
-                        loading_end_ = page.value().end;
-                    }
-                    for (auto& it : page.value().records) {
-                        loading_.insert_or_assign(it.key, it.value);
-                    }
-                    if (page.value().has_more && !page.value().records.empty()) {
-                        read_newest(page.value().records.back().key);
-                        return;
-                    }
-                    std::vector<change> changes;
-                    for (const auto& [key, value] : records_) {
-                        if (!loading_.contains(key)) {
-                            changes.push_back({key, {}});
-                        }
-                    }
-                    for (const auto& [key, value] : loading_) {
-                        auto known = records_.find(key);
-                        if (known == records_.end() || known->second != value) {
-                            changes.push_back({key, value});
-                        }
-                    }
-                    records_ = std::move(loading_);
-                    loading_.clear();
-                    next_ = loading_end_;
-                    is_loaded_ = true;
-                    on_success(changes, read_started_);
-                });
+    store_.call(
+        std::move(request), options_.answer_timeout,
+        [this, is_first, number = read_number_, alive = alive_](result<http_response> answer) {
+            if (!*alive || number != read_number_) {
+                return;
+            }
+            if (answer.has_error()) {
+                on_failure(answer.error());
+                return;
+            }
+            auto page = store_codec::decode_newest(answer.value());
+            if (page.has_error()) {
+                on_failure(page.error());
+                return;
+            }
+            // Pages are no snapshot: what changes meanwhile is read again from the end of
+            // the first one.
+            if (is_first) {
+                loading_end_ = page.value().end;
+            }
+            for (auto& it : page.value().records) {
+                loading_.insert_or_assign(it.key, it.value);
+            }
+            if (page.value().has_more && !page.value().records.empty()) {
+                read_newest(page.value().records.back().key);
+                return;
+            }
+            std::vector<change> changes;
+            for (const auto& [key, value] : records_) {
+                if (!loading_.contains(key)) {
+                    changes.push_back({key, {}});
+                }
+            }
+            for (const auto& [key, value] : loading_) {
+                auto known = records_.find(key);
+                if (known == records_.end() || known->second != value) {
+                    changes.push_back({key, value});
+                }
+            }
+            records_ = std::move(loading_);
+            loading_.clear();
+            next_ = loading_end_;
+            is_loaded_ = true;
+            on_success(changes, read_started_);
+        });
 }
 
 auto store_topic::read_log() -> void
 {
     auto from = next_;
     auto wait = std::exchange(is_hurried_, false) ? duration::zero() : options_.wait;
-    store_.call(store_codec::read_request(options_.topic, from, wait), wait + options_.answer_timeout,
+    store_.call(store_codec::read_request(options_.topic, from, wait),
+                wait + options_.answer_timeout,
                 [this, from, number = read_number_, alive = alive_](result<http_response> answer) {
                     if (!*alive || number != read_number_) {
                         return;
--- a/ownership/ownership_state.h
+++ b/ownership/ownership_state.h
@@ -5,10 +5,10 @@
 #include "core/epoch.h"
 #include "core/ids.h"
 #include "core/slot_set.h"
+#include "ownership/log_service.h"
 #include "ownership/records.h"
 #include "ownership/server_table.h"
 #include "ownership/slot_table.h"
-#include "ownership/log_service.h"
 
 #include <cstdint>
 #include <map>
--- a/ownership/planner_view.h
+++ b/ownership/planner_view.h
@@ -3,9 +3,9 @@
 #include "config/configuration.h"
 #include "core/clock.h"
 #include "core/slot_set.h"
+#include "ownership/instance_list.h"
 #include "ownership/ownership_state.h"
 #include "ownership/records.h"
-#include "ownership/instance_list.h"
 
 #include <cstdint>
 #include <map>
--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -100,9 +100,9 @@
     auto operator=(const range_authority&) -> range_authority& = delete;
     ~range_authority();
 
-    /// Starts from what the store recorded. Tokens from `first_token` to below `token_limit` are this one's.
-    /// `predecessor_seen` is the last time at which a predecessor can have had proof of its role;
-    /// none when there is no predecessor, or when it is known to have ended.
+    /// Starts from what the store recorded. Tokens from `first_token` to below `token_limit` are
+    /// this one's. `predecessor_seen` is the last time at which a predecessor can have had proof of
+    /// its role; none when there is no predecessor, or when it is known to have ended.
     auto take_over(const std::vector<recorded_range>& ranges, fencing_token first_token,
                    fencing_token token_limit, std::optional<time_point> predecessor_seen,
                    time_point now) -> void;
@@ -114,8 +114,8 @@
     auto may_move(time_point now) const -> bool;
     /// Servers of the service that are alive. A server that is missing may still hold keys.
     auto set_servers(const std::vector<lease_server>& servers, time_point now) -> void;
-    /// Proof that the process of a server has ended and that its address reaches no later one of the
-    /// same name.
+    /// Proof that the process of a server has ended and that its address reaches no later one of
+    /// the same name.
     auto on_server_ended(const server_id& server, std::int64_t incarnation, time_point now) -> void;
     /// A connection to the server broke, so its process may have ended and started again.
     auto on_connection_lost(const server_id& server) -> void;
@@ -141,7 +141,10 @@
     auto on_recorded(std::uint64_t revision, time_point now) -> void;
     /// Whether a range waits for a record.
     auto needs_record() const -> bool;
-    auto has_tokens() const -> bool { return next_token_.value() + token_reserve < token_limit_.value(); }
+    auto has_tokens() const -> bool
+    {
+        return next_token_.value() + token_reserve < token_limit_.value();
+    }
     auto extend_tokens(fencing_token limit) -> void { token_limit_ = limit; }
     auto next_token() const -> fencing_token { return next_token_; }
     /// Share of renewals to reachable servers that failed lately, 0 to 1.
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -85,8 +85,7 @@
     std::map<server_id, server_state> next;
     for (const auto& it : servers) {
         auto known = servers_.find(it.id);
-        bool is_same = known != servers_.end() &&
-                       known->second.info.incarnation == it.incarnation;
+        bool is_same = known != servers_.end() && known->second.info.incarnation == it.incarnation;
         server_state state;
         if (is_same) {
             state = std::move(known->second);
@@ -130,7 +129,8 @@
         return static_cast<double>(server.cold_sends.size()) < most && server.in_flight < 1;
     }
     // Instances without contact to each other must not add up to more than the limit.
-    double gap_s = settings_.instances / std::max(0.1, settings_.cold_limit * independent_cold_share);
+    double gap_s =
+        settings_.instances / std::max(0.1, settings_.cold_limit * independent_cold_share);
     auto last = server.cold_sends.empty() ? time_point{} : server.cold_sends.back();
     return gap_s <= 1.0 ? server.cold_sends.empty()
                         : last + from_ms(gap_s * 1000.0) <= now && server.cold_sends.empty();
@@ -216,7 +216,12 @@
     // Spread, so that the refused do not come back in one wave.
     double ms = std::clamp(to_ms(retry_after), min_retry_after_ms, max_retry_after_ms);
     ms *= 0.75 + 0.5 * uniform_real(random_);
-    decide_({request.source, request.id, admission_outcome::refuse, {}, cause, from_ms(ms),
+    decide_({request.source,
+             request.id,
+             admission_outcome::refuse,
+             {},
+             cause,
+             from_ms(ms),
              now - request.received});
 }
 
@@ -262,8 +267,9 @@
     }
     std::size_t ahead = 0;
     for (const auto& other : queue_) {
-        bool is_before = other.priority < request.priority ||
-                         (other.priority == request.priority && other.objective <= request.objective);
+        bool is_before =
+            other.priority < request.priority ||
+            (other.priority == request.priority && other.objective <= request.objective);
         ahead += is_before ? 1 : 0;
     }
     return from_ms(to_ms(expected_work(request.work)) * (static_cast<double>(ahead) + 0.5) /
@@ -345,8 +351,8 @@
         server.slowness = report.slowness_percent / 100.0;
         server.slowness_at = now;
     }
-    bool is_failed = report.outcome == attempt_outcome::shed ||
-                     report.outcome == attempt_outcome::broken;
+    bool is_failed =
+        report.outcome == attempt_outcome::shed || report.outcome == attempt_outcome::broken;
     if (is_failed || report.outcome == attempt_outcome::answered) {
         server.failure_rate += failure_weight * ((is_failed ? 1.0 : 0.0) - server.failure_rate);
     }
@@ -525,9 +531,8 @@
     if (!owner_of_) {
         return 0;
     }
-    return static_cast<std::size_t>(std::ranges::count_if(queue_, [&](const auto& it) {
-        return it.key && owner_of_(*it.key).server == server;
-    }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        queue_, [&](const auto& it) { return it.key && owner_of_(*it.key).server == server; }));
 }
 
 auto admission_scheduler::running_on(const server_id& server) const -> std::size_t
--- a/routing/range_planner.cpp
+++ b/routing/range_planner.cpp
@@ -126,7 +126,8 @@
                 end = keys.last + 1U;
             }
             if (end > first) {
-                move({static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(end - 1)}, load);
+                move({static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(end - 1)},
+                     load);
                 first = end;
             }
         }
@@ -226,8 +227,8 @@
             }
             auto rate = heat_.rate(*slice, now_);
             // Moving a single busy group must not just move the problem.
-            if (rate > 1.5 * excess || (target.rate + rate) / target.server.capacity >
-                                           donor->utilization()) {
+            if (rate > 1.5 * excess ||
+                (target.rate + rate) / target.server.capacity > donor->utilization()) {
                 exhausted_.emplace(donor->server.id, true);
                 continue;
             }
@@ -248,8 +249,8 @@
             };
             auto& donor = std::max_element(loads_.begin(), loads_.end(), more)->second;
             double wanted = std::min(donor.rate / 2, mean_utilization() * load.server.capacity);
-            auto slice = wanted < min_slice_rate ? std::nullopt
-                                                 : narrowest_slice(donor.server.id, wanted);
+            auto slice =
+                wanted < min_slice_rate ? std::nullopt : narrowest_slice(donor.server.id, wanted);
             if (slice) {
                 take(*slice, donor, heat_.rate(*slice, now_));
                 move(*slice, load);
@@ -266,9 +267,8 @@
 
     auto is_taken(std::uint32_t first, std::uint32_t last) const -> bool
     {
-        return std::ranges::any_of(taken_, [&](const key_range& it) {
-            return first <= it.last && it.first <= last;
-        });
+        return std::ranges::any_of(
+            taken_, [&](const key_range& it) { return first <= it.last && it.first <= last; });
     }
 
     /// Narrowest run of groups of one of the owner's ranges that carries about `wanted`.
@@ -290,7 +290,8 @@
         std::uint32_t from = keys.first / key_heat::group_keys;
         double sum = 0;
         for (std::uint32_t to = from; to <= keys.last / key_heat::group_keys; ++to) {
-            if (is_taken(to * key_heat::group_keys, to * key_heat::group_keys + key_heat::group_keys - 1)) {
+            if (is_taken(to * key_heat::group_keys,
+                         to * key_heat::group_keys + key_heat::group_keys - 1)) {
                 from = to + 1;
                 sum = 0;
                 continue;
@@ -303,8 +304,8 @@
                 continue;
             }
             auto first = std::max<std::uint32_t>(keys.first, from * key_heat::group_keys);
-            auto last = std::min<std::uint32_t>(
-                keys.last, to * key_heat::group_keys + key_heat::group_keys - 1);
+            auto last = std::min<std::uint32_t>(keys.last, to * key_heat::group_keys +
+                                                               key_heat::group_keys - 1);
             key_range slice{static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(last)};
             if (!best || slice.size() < best->size()) {
                 best = slice;
--- /dev/null
+++ b/tests/routing/admission_scheduler_test.cpp
@@ -0,0 +1,370 @@
+#include "core/manual_clock.h"
+#include "routing/admission_scheduler.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace cornelswitch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const admission_source local{0};
+
+struct scheduler_world {
+    explicit scheduler_world(admission_settings settings = {})
+        : it{settings, random, [this](const admission_decision& decision) {
+                 decisions[decision.id.value()] = decision;
+             }}
+    {
+    }
+
+    auto servers(std::vector<schedulable_server> list) -> void { it.set_servers(list, time.now()); }
+
+    auto request(std::uint64_t id, duration objective = milliseconds{500},
+                 duration deadline = seconds{2}) -> admission_request
+    {
+        admission_request out;
+        out.source = local;
+        out.id = admission_id{id};
+        out.zone = zone_id{"z1"};
+        out.work = work_class{1};
+        out.received = time.now();
+        out.objective = time.now() + objective;
+        out.expires = time.now() + deadline;
+        return out;
+    }
+
+    auto submit(admission_request request) -> void { it.submit(std::move(request), time.now()); }
+
+    auto finish(std::uint64_t id, duration service_time = milliseconds{100},
+                attempt_outcome outcome = attempt_outcome::answered) -> void
+    {
+        it.complete(local, admission_id{id}, {outcome, service_time, 0, 0, 100}, time.now());
+    }
+
+    auto is_sent(std::uint64_t id) const -> bool
+    {
+        auto found = decisions.find(id);
+        return found != decisions.end() && found->second.outcome == admission_outcome::send;
+    }
+    auto is_refused(std::uint64_t id) const -> bool
+    {
+        auto found = decisions.find(id);
+        return found != decisions.end() && found->second.outcome == admission_outcome::refuse;
+    }
+
+    manual_clock time;
+    random_engine random{1};
+    std::map<std::uint64_t, admission_decision> decisions;
+    admission_scheduler it;
+};
+
+auto server(const std::string& id, std::uint32_t slots = 2, const std::string& zone = "z1")
+    -> schedulable_server
+{
+    schedulable_server out;
+    out.id = server_id{id};
+    out.zone = zone_id{zone};
+    out.slots = slots;
+    return out;
+}
+
+BOOST_AUTO_TEST_SUITE(an_admission_scheduler)
+
+BOOST_AUTO_TEST_SUITE(with_free_slots)
+
+BOOST_AUTO_TEST_CASE(fills_no_server_beyond_its_slots)
+{
+    scheduler_world world;
+    world.servers({server("a"), server("b")});
+    for (std::uint64_t n = 1; n <= 6; ++n) {
+        world.submit(world.request(n));
+    }
+    BOOST_TEST(world.it.running_on(server_id{"a"}) == 2U);
+    BOOST_TEST(world.it.running_on(server_id{"b"}) == 2U);
+    BOOST_TEST(world.it.waiting() == 2U);
+    world.finish(1);
+    BOOST_TEST(world.is_sent(5));
+}
+
+BOOST_AUTO_TEST_CASE(sends_a_bulky_request_to_its_own_zone)
+{
+    scheduler_world world;
+    world.servers({server("far", 2, "z2"), server("near", 2, "z1")});
+    auto request = world.request(1);
+    request.is_bulky = true;
+    world.submit(request);
+    BOOST_TEST(world.decisions.at(1).server.value() == "near");
+}
+
+BOOST_AUTO_TEST_CASE(avoids_a_server_that_has_turned_slow)
+{
+    scheduler_world world;
+    world.servers({server("a", 1), server("b", 1)});
+    for (std::uint64_t n = 1; n <= 40; ++n) {
+        world.submit(world.request(n));
+        bool is_slow = world.decisions.at(n).server.value() == "a";
+        world.finish(n, is_slow ? milliseconds{900} : milliseconds{100});
+        world.time.advance(milliseconds{50});
+    }
+    world.submit(world.request(100));
+    BOOST_TEST(world.decisions.at(100).server.value() == "b");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(under_overload)
+
+// The pattern is a burst beyond what the servers can finish in time.
+BOOST_AUTO_TEST_CASE(refuses_at_once_what_cannot_be_served_in_time)
+{
+    scheduler_world world;
+    world.servers({server("a", 1)});
+    for (std::uint64_t n = 1; n <= 200; ++n) {
+        world.submit(world.request(n));
+    }
+    BOOST_TEST(world.is_refused(200));
+    BOOST_TEST((world.decisions.at(200).cause == refusal_cause::overload));
+    BOOST_TEST(world.decisions.at(200).retry_after.count() > 0);
+    BOOST_TEST(!world.is_refused(2));
+}
+
+BOOST_AUTO_TEST_CASE(serves_the_urgent_before_the_less_urgent)
+{
+    scheduler_world world;
+    world.servers({server("a", 1)});
+    world.submit(world.request(1));
+    auto patient = world.request(2);
+    patient.priority = 2;
+    world.submit(patient);
+    auto urgent = world.request(3);
+    urgent.priority = 1;
+    world.submit(urgent);
+    world.finish(1);
+    BOOST_TEST(world.is_sent(3));
+    BOOST_TEST(!world.is_sent(2));
+}
+
+BOOST_AUTO_TEST_CASE(serves_those_that_can_be_in_time_before_those_that_are_late)
+{
+    scheduler_world world;
+    world.servers({server("a", 1)});
+    world.submit(world.request(1));
+    world.submit(world.request(2, milliseconds{200}));
+    world.time.advance(milliseconds{300});
+    world.submit(world.request(3, milliseconds{400}));
+    world.finish(1);
+    BOOST_TEST(world.is_sent(3));
+}
+
+BOOST_AUTO_TEST_CASE(refuses_a_queued_request_as_soon_as_its_time_is_up)
+{
+    scheduler_world world;
+    world.servers({server("a", 1)});
+    world.submit(world.request(1));
+    world.submit(world.request(2, milliseconds{200}, milliseconds{400}));
+    world.time.advance(milliseconds{380});
+    world.it.tick(world.time.now());
+    BOOST_TEST(world.is_refused(2));
+}
+
+BOOST_AUTO_TEST_CASE(spreads_the_return_times_of_the_refused)
+{
+    scheduler_world world;
+    world.servers({server("a", 1)});
+    std::vector<std::int64_t> times;
+    for (std::uint64_t n = 1; n <= 300; ++n) {
+        world.submit(world.request(n));
+        if (world.is_refused(n)) {
+            times.push_back(world.decisions.at(n).retry_after.count());
+        }
+    }
+    auto [least, most] = std::ranges::minmax(times);
+    BOOST_TEST(most - least > std::chrono::nanoseconds{milliseconds{100}}.count());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_servers_that_fail)
+
+BOOST_AUTO_TEST_CASE(keeps_a_source_away_from_a_server_it_cannot_reach)
+{
+    scheduler_world world;
+    world.servers({server("a"), server("b")});
+    world.submit(world.request(1));
+    auto first = world.decisions.at(1).server;
+    world.finish(1, duration::zero(), attempt_outcome::unreachable);
+    world.submit(world.request(2));
+    BOOST_TEST((world.decisions.at(2).server != first));
+    BOOST_TEST(!world.it.is_suspect(first));
+}
+
+BOOST_AUTO_TEST_CASE(suspects_a_server_that_two_sources_cannot_reach)
+{
+    scheduler_world world;
+    world.servers({server("a")});
+    for (std::uint32_t source : {1U, 2U}) {
+        auto request = world.request(source);
+        request.source = admission_source{source};
+        world.submit(request);
+        world.it.complete(admission_source{source}, admission_id{source},
+                          {attempt_outcome::unreachable, duration::zero(), 0, 0, 0},
+                          world.time.now());
+    }
+    BOOST_TEST(world.it.is_suspect(server_id{"a"}));
+    // A new heartbeat clears it.
+    world.time.advance(milliseconds{10});
+    auto heard = server("a");
+    heard.heard_at = world.time.now();
+    world.servers({heard});
+    BOOST_TEST(!world.it.is_suspect(server_id{"a"}));
+}
+
+BOOST_AUTO_TEST_CASE(refuses_at_once_when_there_is_no_server)
+{
+    scheduler_world world;
+    world.servers({});
+    world.submit(world.request(1));
+    BOOST_TEST(world.is_refused(1));
+    BOOST_TEST((world.decisions.at(1).cause == refusal_cause::no_server));
+}
+
+BOOST_AUTO_TEST_CASE(frees_the_slots_of_a_source_that_is_gone)
+{
+    scheduler_world world;
+    world.servers({server("a", 1)});
+    auto request = world.request(1);
+    request.source = admission_source{7};
+    world.submit(request);
+    world.submit(world.request(2));
+    BOOST_TEST(!world.is_sent(2));
+    world.it.drop_source(admission_source{7}, world.time.now());
+    BOOST_TEST(world.is_sent(2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_a_cold_server)
+
+BOOST_AUTO_TEST_CASE(stays_within_its_part_of_the_limit)
+{
+    admission_settings settings;
+    settings.cold_limit = 10;
+    scheduler_world world{settings};
+    auto cold = server("a", 4);
+    cold.cold_until = world.time.now() + seconds{10};
+    world.servers({cold});
+    std::size_t sent = 0;
+    for (std::uint64_t n = 1; n <= 100; ++n) {
+        world.submit(world.request(n, milliseconds{100}, milliseconds{150}));
+        if (world.is_sent(n)) {
+            ++sent;
+            world.finish(n, milliseconds{1});
+        }
+        world.time.advance(milliseconds{10});
+    }
+    // One second, four tenths of ten.
+    BOOST_TEST(sent <= 4U);
+    BOOST_TEST(sent >= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(adds_up_over_instances_without_contact)
+{
+    constexpr std::uint32_t instances = 11;
+    std::size_t sent = 0;
+    for (std::uint32_t instance = 0; instance < instances; ++instance) {
+        admission_settings settings;
+        settings.is_authority = false;
+        settings.cold_limit = 11;
+        settings.instances = instances;
+        scheduler_world world{settings};
+        auto cold = server("a", 4);
+        cold.cold_until = world.time.now() + seconds{10};
+        world.servers({cold});
+        for (std::uint64_t n = 1; n <= 100; ++n) {
+            world.submit(world.request(n, milliseconds{100}, milliseconds{150}));
+            if (world.is_sent(n)) {
+                ++sent;
+                world.finish(n, milliseconds{1});
+            }
+            world.time.advance(milliseconds{10});
+        }
+    }
+    BOOST_TEST(sent <= 11U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(of_a_keyed_service)
+
+struct keyed_world : scheduler_world {
+    keyed_world() : scheduler_world{keyed()}
+    {
+        it.set_owner_lookup([this](std::uint16_t key) -> key_owner {
+            if (key < 100) {
+                return {server_id{"a"}, {}};
+            }
+            if (key < 200) {
+                return {server_id{"b"}, {}};
+            }
+            return {std::nullopt, available_at};
+        });
+        servers({server("a", 1), server("b", 1)});
+        available_at = time.now() + seconds{5};
+    }
+
+    static auto keyed() -> admission_settings
+    {
+        admission_settings out;
+        out.is_keyed = true;
+        return out;
+    }
+
+    auto keyed_request(std::uint64_t id, std::uint16_t key) -> admission_request
+    {
+        auto out = request(id);
+        out.key = key;
+        return out;
+    }
+
+    time_point available_at;
+};
+
+BOOST_FIXTURE_TEST_CASE(sends_each_key_to_its_owner_only, keyed_world)
+{
+    submit(keyed_request(1, 10));
+    submit(keyed_request(2, 10));
+    submit(keyed_request(3, 150));
+    BOOST_TEST(decisions.at(1).server.value() == "a");
+    BOOST_TEST(!is_sent(2));
+    BOOST_TEST(decisions.at(3).server.value() == "b");
+}
+
+BOOST_FIXTURE_TEST_CASE(refuses_a_key_whose_owner_comes_too_late, keyed_world)
+{
+    submit(keyed_request(1, 300));
+    BOOST_TEST(is_refused(1));
+    BOOST_TEST((decisions.at(1).cause == refusal_cause::no_owner));
+}
+
+BOOST_FIXTURE_TEST_CASE(holds_a_key_that_moves_and_sends_it_to_the_new_owner, keyed_world)
+{
+    available_at = time.now() + milliseconds{50};
+    submit(keyed_request(1, 300));
+    BOOST_TEST(!is_refused(1));
+    it.set_owner_lookup([](std::uint16_t) -> key_owner { return {server_id{"b"}, {}}; });
+    time.advance(milliseconds{60});
+    it.tick(time.now());
+    BOOST_TEST(decisions.at(1).server.value() == "b");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cornelswitch
