--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -50,6 +50,9 @@
 /// Without contact to the scheduling instance, one instance may have this many requests more than
 /// its slots at a server, because the slots are shared with callers of other instances.
 constexpr std::uint32_t independent_overcommit = 1;
+/// Late requests that may wait for a server, as a multiple of its slots. They are worth less, so
+/// they get only what those in time leave over, which under overload is nothing.
+constexpr std::uint32_t late_per_slot = 1;
 /// Shortest and longest time that a caller is told to stay away.
 constexpr double min_retry_after_ms = 50.0;
 constexpr double max_retry_after_ms = 2000.0;
@@ -116,6 +119,19 @@
     return from_ms(to_ms(expected_work(work)) * server.factor * slowness);
 }
 
+auto admission_scheduler::estimate(const admission_request& request, time_point now) const
+    -> duration
+{
+    if (request.key && settings_.is_keyed && owner_of_) {
+        auto owner = owner_of_(*request.key);
+        auto it = owner.server ? servers_.find(*owner.server) : servers_.end();
+        if (it != servers_.end()) {
+            return expected_time(it->second, request.work, now);
+        }
+    }
+    return expected_work(request.work);
+}
+
 auto admission_scheduler::cold_allows(server_state& server, time_point now) const -> bool
 {
     while (!server.cold_sends.empty() && server.cold_sends.front() + cold_window <= now) {
@@ -279,7 +295,7 @@
 auto admission_scheduler::refuse_if_hopeless(const admission_request& request, bool is_new,
                                              time_point now) -> bool
 {
-    auto work = expected_work(request.work);
+    auto work = estimate(request, now);
     if (now + work / 2 >= request.expires) {
         refuse(request, refusal_cause::expired, work, now);
         return true;
@@ -306,18 +322,38 @@
         }
     }
     auto wait = expected_wait(request, now);
-    if (now + wait + work > request.expires) {
+    bool is_late = now + wait + work > request.objective;
+    if (now + wait + work > request.expires || (is_late && late_room(request) == 0)) {
         refuse(request, refusal_cause::overload, wait / 2, now);
         return true;
     }
     return false;
 }
 
+auto admission_scheduler::late_room(const admission_request& request) const -> std::size_t
+{
+    std::optional<server_id> owner;
+    double slots = usable_capacity();
+    if (request.key && settings_.is_keyed && owner_of_) {
+        owner = owner_of_(*request.key).server;
+        auto it = owner ? servers_.find(*owner) : servers_.end();
+        slots = it == servers_.end() ? 1 : it->second.info.slots;
+    }
+    std::size_t late = 0;
+    for (const auto& it : queue_) {
+        bool is_same = !owner || (it.key && owner_of_(*it.key).server == owner);
+        late += is_same && it.is_late ? 1 : 0;
+    }
+    auto most = static_cast<std::size_t>(std::max(1.0, slots)) * late_per_slot;
+    return most > late ? most - late : 0;
+}
+
 auto admission_scheduler::submit(admission_request request, time_point now) -> void
 {
     if (refuse_if_hopeless(request, true, now)) {
         return;
     }
+    request.is_late = now + expected_wait(request, now) + estimate(request, now) > request.objective;
     queue_.push_back(std::move(request));
     dispatch(now);
 }
@@ -426,14 +462,12 @@
 
 auto admission_scheduler::sort_queue(time_point now) -> void
 {
-    auto is_late = [&](const admission_request& it) {
-        return now + expected_work(it.work) > it.objective;
-    };
-    auto is_before = [&](const admission_request& left, const admission_request& right) {
-        bool left_late = is_late(left);
-        bool right_late = is_late(right);
-        if (left_late != right_late) {
-            return right_late;
+    for (auto& it : queue_) {
+        it.is_late = it.is_late || now + estimate(it, now) > it.objective;
+    }
+    auto is_before = [](const admission_request& left, const admission_request& right) {
+        if (left.is_late != right.is_late) {
+            return right.is_late;
         }
         if (left.priority != right.priority) {
             return left.priority < right.priority;
@@ -490,9 +524,16 @@
     auto pending = std::move(queue_);
     queue_.clear();
     for (auto& it : pending) {
-        if (!refuse_if_hopeless(it, false, now)) {
-            queue_.push_back(std::move(it));
+        if (refuse_if_hopeless(it, false, now)) {
+            continue;
+        }
+        bool turns_late = !it.is_late && now + estimate(it, now) > it.objective;
+        if (turns_late && late_room(it) == 0) {
+            refuse(it, refusal_cause::overload, expected_work(it.work), now);
+            continue;
         }
+        it.is_late = it.is_late || turns_late;
+        queue_.push_back(std::move(it));
     }
     // A source that is cut off cannot report the end of its requests.
     constexpr duration report_slack = std::chrono::seconds{1};
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -57,6 +57,8 @@
     time_point expires;
     /// Servers that have been tried.
     std::vector<server_id> excluded;
+    /// Set by the scheduler: the response cannot come before the objective.
+    bool is_late{false};
 };
 
 enum class admission_outcome : std::uint8_t { send, refuse };
@@ -190,6 +192,8 @@
     auto expected_work(work_class work) const -> duration;
     auto expected_time(const server_state& server, work_class work, time_point now) const
         -> duration;
+    /// Time that the request will take at its owner, or at an average server.
+    auto estimate(const admission_request& request, time_point now) const -> duration;
     auto may_send(server_state& server, const admission_request& request, time_point now) -> bool;
     auto cold_allows(server_state& server, time_point now) const -> bool;
     auto score(const server_state& server, const admission_request& request, time_point now) const
@@ -200,6 +204,8 @@
                 time_point now) -> void;
     /// Refuses the request when it cannot be served in time. Returns whether it did.
     auto refuse_if_hopeless(const admission_request& request, bool is_new, time_point now) -> bool;
+    /// How many more late requests may wait for the servers of this one.
+    auto late_room(const admission_request& request) const -> std::size_t;
     auto expected_wait(const admission_request& request, time_point now) const -> duration;
     auto dispatch(time_point now) -> void;
     auto sort_queue(time_point now) -> void;
--- a/tests/routing/admission_scheduler_test.cpp
+++ b/tests/routing/admission_scheduler_test.cpp
@@ -172,6 +172,24 @@
     BOOST_TEST(world.is_refused(2));
 }
 
+// The pattern is a key with more demand than its owner can serve: late requests would wait for
+// nothing while newer ones are served in time.
+BOOST_AUTO_TEST_CASE(lets_few_late_requests_wait)
+{
+    scheduler_world world;
+    world.servers({server("a", 2)});
+    for (std::uint64_t n = 1; n <= 40; ++n) {
+        world.submit(world.request(n));
+    }
+    // Two run; those that can be in time wait, and as many late ones as there are slots.
+    auto refused = std::ranges::count_if(world.decisions, [](const auto& it) {
+        return it.second.outcome == admission_outcome::refuse;
+    });
+    BOOST_TEST(world.it.waiting() + 2U + static_cast<std::size_t>(refused) == 40U);
+    BOOST_TEST(world.it.waiting() <= 10U);
+    BOOST_TEST(world.it.waiting() >= 4U);
+}
+
 BOOST_AUTO_TEST_CASE(spreads_the_return_times_of_the_refused)
 {
     scheduler_world world;
