Count a request as late only when it cannot be in time any more

The estimate at arrival marked requests late that could still be served in time, and they then waited behind all others.

--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -353,7 +353,6 @@
     if (refuse_if_hopeless(request, true, now)) {
         return;
     }
-    request.is_late = now + expected_wait(request, now) + estimate(request, now) > request.objective;
     queue_.push_back(std::move(request));
     dispatch(now);
 }
