Keep the mean of the slowness that servers report, and confirm a new coordinator at once

Cause: the service time of a slow machine was explained by the figure that it reports, and the figure then decayed to 100%, so the slowest servers had the highest estimated capacity; a busy key was moved to them. A new coordinator's first read was held for up to 15 s, so it had no proof of its role and moved nothing; it now reads at once. A group of keys that fills a server gets the fastest one for itself.

Ruled out: too slow a reaction of the planner (the first move came after 0.3 s).

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -94,6 +94,7 @@
                        own_topic_->hurry();
                    }
                },
+               [this] { apply_role(); },
                [this] { return instances(); },
                [this] {
                    std::set<instance_id> nodes{settings_.node};
@@ -305,19 +306,31 @@
             service->on_record(record.value(), proof);
         }
     }
-    bool is_coordinator = false;
     for (auto& [name, it] : runtimes_) {
         it->on_proof(proof);
-        is_coordinator = is_coordinator || it->is_coordinator();
     }
-    own_topic_->set_wait(is_coordinator ? coordinator_wait : own_wait);
-    own_topic_->set_pace(is_coordinator ? coordinator_pace : own_pace);
     ownership_.on_read();
     if (!is_announced_ && !is_shutting_down_) {
         announce();
     }
 }
 
+auto gateway::apply_role() -> void
+{
+    bool is_coordinator = std::ranges::any_of(
+        runtimes_, [](const auto& it) { return it.second->is_coordinator(); });
+    if (is_coordinator == is_coordinator_) {
+        return;
+    }
+    is_coordinator_ = is_coordinator;
+    own_topic_->set_wait(is_coordinator ? coordinator_wait : own_wait);
+    own_topic_->set_pace(is_coordinator ? coordinator_pace : own_pace);
+    if (is_coordinator) {
+        // The read in progress may be held for long; the role needs proof sooner.
+        own_topic_->hurry();
+    }
+}
+
 auto gateway::announce() -> void
 {
     is_announced_ = true;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -66,6 +66,7 @@
     auto on_server_records(const std::vector<store_topic::change>& changes) -> void;
     auto on_own_records(const std::vector<store_topic::change>& changes, time_point proof) -> void;
     auto apply_configuration(const std::string& value) -> void;
+    auto apply_role() -> void;
     auto announce() -> void;
     auto join_group() -> void;
     auto leave_group() -> void;
@@ -114,6 +115,7 @@
     time_point no_join_before_{};
     bool is_joining_{false};
     bool is_announced_{false};
+    bool is_coordinator_{false};
     time_point next_join_{};
     time_point next_slow_tick_{};
     time_point next_refresh_{};
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -200,6 +200,7 @@
         .text("predecessor", predecessor_ ? predecessor_->coordinator.value() : "")
         .number("ranges", static_cast<std::int64_t>(mine.ranges.size()));
     context_.metrics.count("coordinator_starts_total");
+    context_.on_role_change();
     if (has_live_predecessor) {
         ask_predecessor(*predecessor_, mine.term);
     }
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -33,6 +33,8 @@
     std::function<void(admission_source, const peer_message&)> answer;
     /// Reads the records of services again soon.
     std::function<void()> refresh;
+    /// This instance has become a coordinator, or is none any more.
+    std::function<void()> on_role_change;
     /// Instances that are known, this one included.
     std::function<std::uint32_t()> instances;
     /// Instances that are connected to this one, itself included.
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -23,6 +23,8 @@
 constexpr double initial_work_ms = 120.0;
 /// Weight of one observation; a server that turns slow is noticed within about five answers.
 constexpr double factor_weight = 0.15;
+/// The figure changes several times a second, so its mean needs some twenty answers.
+constexpr double slowness_weight = 0.08;
 constexpr double work_weight = 0.05;
 constexpr double failure_weight = 0.1;
 /// Bounds of a server's factor, so that one odd answer cannot take it out for good.
@@ -115,7 +117,7 @@
 {
     double age = to_ms(now - server.slowness_at);
     double trust = std::exp2(-age / slowness_half_life_ms);
-    double slowness = 1.0 + (server.slowness - 1.0) * trust;
+    double slowness = server.usual_slowness + (server.slowness - server.usual_slowness) * trust;
     return from_ms(to_ms(expected_work(work)) * server.factor * slowness);
 }
 
@@ -246,7 +248,7 @@
     double out = 0;
     for (const auto& [id, server] : servers_) {
         if (server.info.is_usable && !server.is_suspect) {
-            out += server.info.slots / server.factor;
+            out += server.info.slots / (server.factor * server.usual_slowness);
         }
     }
     return out;
@@ -385,6 +387,7 @@
     if (report.slowness_percent > 0) {
         server.slowness = report.slowness_percent / 100.0;
         server.slowness_at = now;
+        server.usual_slowness += slowness_weight * (server.slowness - server.usual_slowness);
     }
     bool is_failed =
         report.outcome == attempt_outcome::shed || report.outcome == attempt_outcome::broken;
@@ -563,7 +566,8 @@
             work = std::max(work, ms);
         }
     }
-    return 1000.0 * it->second.info.slots / (work * it->second.factor);
+    return 1000.0 * it->second.info.slots /
+           (work * it->second.factor * it->second.usual_slowness);
 }
 
 auto admission_scheduler::backlog(const server_id& server) const -> std::size_t
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -177,7 +177,9 @@
         std::uint32_t in_flight{0};
         /// Service time against that of an average server.
         double factor{1.0};
+        /// What the server said last of its machine, as a factor, and the mean of that.
         double slowness{1.0};
+        double usual_slowness{1.0};
         time_point slowness_at{};
         /// Share of attempts that failed lately.
         double failure_rate{0};
--- a/routing/range_planner.cpp
+++ b/routing/range_planner.cpp
@@ -18,6 +18,11 @@
 constexpr double slice_tolerance = 0.75;
 /// Slices that carry less than this many requests per second are not worth a move.
 constexpr double min_slice_rate = 0.4;
+/// A single group of keys that takes this share of an average server is placed on its own: no split
+/// can relieve its owner.
+constexpr double hot_group_share = 0.45;
+/// A hot group moves to a server only if that one is faster by this factor.
+constexpr double hot_group_gain = 1.2;
 /// A range without owner is divided when it would take more than this share of a server.
 constexpr double max_orphan_share = 0.3;
 constexpr std::uint32_t max_orphan_parts = 8;
@@ -25,6 +30,8 @@
 struct server_load {
     planned_server server;
     double rate{0};
+    /// Part of `rate` that no move can take away.
+    double hot_rate{0};
     std::uint32_t keys{0};
 
     auto utilization() const -> double { return rate / std::max(0.001, server.capacity); }
@@ -37,7 +44,7 @@
         : ranges_{ranges}, heat_{heat}, rates_{heat.rates(now)}, now_{now}
     {
         for (const auto& it : servers) {
-            loads_.emplace(it.id, server_load{it, 0, 0});
+            loads_.emplace(it.id, server_load{it, 0, 0, 0});
         }
         for (const auto& it : ranges_) {
             auto owner = it.owner ? loads_.find(*it.owner) : loads_.end();
@@ -55,6 +62,7 @@
         }
         place_orphans();
         if (moves_.empty()) {
+            place_hot_groups();
             fill_empty_servers();
             relieve_busy_servers();
         }
@@ -217,7 +225,7 @@
             auto& target = least_loaded();
             double excess = donor->rate - mean * donor->server.capacity;
             double room = mean * target.server.capacity - target.rate;
-            double wanted = std::min(excess, room);
+            double wanted = std::min({excess, room, 0.95 * (donor->rate - donor->hot_rate)});
             auto slice = wanted < min_slice_rate || &target == donor
                              ? std::nullopt
                              : narrowest_slice(donor->server.id, wanted);
@@ -248,7 +256,8 @@
                 return left.second.utilization() < right.second.utilization();
             };
             auto& donor = std::max_element(loads_.begin(), loads_.end(), more)->second;
-            double wanted = std::min(donor.rate / 2, mean_utilization() * load.server.capacity);
+            double wanted = std::min((donor.rate - donor.hot_rate) / 2,
+                                     mean_utilization() * load.server.capacity);
             auto slice =
                 wanted < min_slice_rate ? std::nullopt : narrowest_slice(donor.server.id, wanted);
             if (slice) {
@@ -258,6 +267,69 @@
         }
     }
 
+    /// Puts groups that fill a server by themselves on the fastest servers, one on each, and keeps
+    /// them out of the slices that relieve others.
+    auto place_hot_groups() -> void
+    {
+        double mean_capacity = 0;
+        for (const auto& [id, load] : loads_) {
+            mean_capacity += load.server.capacity / static_cast<double>(loads_.size());
+        }
+        std::vector<std::uint32_t> hot;
+        for (std::uint32_t n = 0; n < key_heat::groups; ++n) {
+            double sure = rates_[n] - heat_.deviation(rates_[n]);
+            if (sure > hot_group_share * mean_capacity) {
+                hot.push_back(n);
+            }
+        }
+        std::ranges::sort(hot, [&](auto left, auto right) { return rates_[left] > rates_[right]; });
+        std::map<server_id, bool> hosts;
+        for (auto n : hot) {
+            place_hot_group(n, hosts);
+        }
+    }
+
+    auto place_hot_group(std::uint32_t group, std::map<server_id, bool>& hosts) -> void
+    {
+        auto first = static_cast<std::uint16_t>(group * key_heat::group_keys);
+        key_range keys{first, static_cast<std::uint16_t>(first + key_heat::group_keys - 1)};
+        const auto* range = range_of(keys);
+        taken_.push_back(keys);
+        if (range == nullptr || range->is_moving || !has_owner(*range)) {
+            return;
+        }
+        auto& owner = loads_.at(*range->owner);
+        server_load* best = nullptr;
+        for (auto& [id, load] : loads_) {
+            if (!hosts.contains(id) &&
+                (best == nullptr || load.server.capacity > best->server.capacity)) {
+                best = &load;
+            }
+        }
+        bool is_fast_enough = best == nullptr || best->server.capacity <
+                                                     hot_group_gain * owner.server.capacity;
+        bool stays = best == nullptr || (is_fast_enough && !hosts.contains(owner.server.id));
+        auto& host = stays ? owner : *best;
+        hosts.emplace(host.server.id, true);
+        host.hot_rate += rates_[group];
+        if (&host != &owner) {
+            owner.rate -= rates_[group];
+            owner.keys -= std::min(owner.keys, keys.size());
+            move(keys, host);
+        }
+    }
+
+    /// The range that holds all of `keys`.
+    auto range_of(key_range keys) const -> const planned_range*
+    {
+        for (const auto& it : ranges_) {
+            if (it.keys.first <= keys.first && keys.last <= it.keys.last) {
+                return &it;
+            }
+        }
+        return nullptr;
+    }
+
     auto take(key_range slice, server_load& donor, double rate) -> void
     {
         donor.rate -= rate;
--- a/tests/routing/admission_scheduler_test.cpp
+++ b/tests/routing/admission_scheduler_test.cpp
@@ -115,6 +115,33 @@
     BOOST_TEST(world.decisions.at(100).server.value() == "b");
 }
 
+// Guards against taking a slow machine for a fast one: its figure explains its service time, so
+// without the figure's mean nothing of the slowness was left.
+BOOST_AUTO_TEST_CASE(counts_a_machine_that_always_reports_to_be_slow_as_slow)
+{
+    scheduler_world world;
+    world.servers({server("fast", 1), server("slow", 1)});
+    for (std::uint64_t n = 1; n <= 60; ++n) {
+        world.submit(world.request(n));
+        bool is_slow = world.decisions.at(n).server.value() == "slow";
+        world.it.complete(local, admission_id{n},
+                          {attempt_outcome::answered, milliseconds{is_slow ? 240 : 110}, 0, 0,
+                           is_slow ? 220U : 100U},
+                          world.time.now());
+        // Both get their turns: the other one is busy.
+        world.time.advance(seconds{2});
+        auto other = world.request(1000 + n);
+        other.excluded = {server_id{is_slow ? "slow" : "fast"}};
+        world.submit(other);
+        world.it.complete(local, admission_id{1000 + n},
+                          {attempt_outcome::answered, milliseconds{is_slow ? 110 : 240}, 0, 0,
+                           is_slow ? 100U : 220U},
+                          world.time.now());
+        world.time.advance(seconds{2});
+    }
+    BOOST_TEST(world.it.capacity(server_id{"fast"}) > 1.6 * world.it.capacity(server_id{"slow"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(under_overload)
--- a/tests/routing/range_planner_test.cpp
+++ b/tests/routing/range_planner_test.cpp
@@ -133,6 +133,24 @@
     }
 }
 
+// The pattern: one key gets far more than any server can serve. It belongs on the fastest server,
+// and nothing else on that one.
+BOOST_AUTO_TEST_CASE(gives_a_busy_key_the_fastest_server_for_itself)
+{
+    planned_world world{9, 10};
+    world.list[7].capacity = 18;
+    world.load({0, 65'535}, 50, seconds{4});
+    world.load({1000, 1000}, 48, seconds{4});
+    world.now += seconds{4};
+    for (int round = 0; round < 12; ++round) {
+        world.plan();
+    }
+    BOOST_TEST(world.owners[1000] == 7U);
+    auto others = world.heat.rate({0, 65'535}, world.now) - world.heat.rate({1000, 1003}, world.now);
+    auto beside = world.utilizations()[7] * 18 - world.heat.rate({1000, 1003}, world.now);
+    BOOST_TEST(beside < 0.1 * others);
+}
+
 BOOST_AUTO_TEST_CASE(moves_nothing_under_even_load)
 {
     planned_world world{21, 12};
