--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -317,8 +317,8 @@
 
 auto gateway::apply_role() -> void
 {
-    bool is_coordinator = std::ranges::any_of(
-        runtimes_, [](const auto& it) { return it.second->is_coordinator(); });
+    bool is_coordinator =
+        std::ranges::any_of(runtimes_, [](const auto& it) { return it.second->is_coordinator(); });
     if (is_coordinator == is_coordinator_) {
         return;
     }
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -27,6 +27,7 @@
 constexpr double slowness_weight = 0.08;
 constexpr double work_weight = 0.05;
 constexpr double failure_weight = 0.1;
+constexpr double objective_weight = 0.05;
 /// Bounds of a server's factor, so that one odd answer cannot take it out for good.
 constexpr double min_factor = 0.2;
 constexpr double max_factor = 20.0;
@@ -52,6 +53,9 @@
 /// Without contact to the scheduling instance, one instance may have this many requests more than
 /// its slots at a server, because the slots are shared with callers of other instances.
 constexpr std::uint32_t independent_overcommit = 1;
+/// Service time, as a divisor of the objective, above which a server counts for less.
+constexpr double comfort_divisor = 3.0;
+constexpr double comfort_exponent = 0.5;
 /// Late requests that may wait for a server, as a multiple of its slots. They are worth less, so
 /// they get only what those in time leave over, which under overload is nothing.
 constexpr std::uint32_t late_per_slot = 1;
@@ -344,7 +348,7 @@
     std::size_t late = 0;
     for (const auto& it : queue_) {
         bool is_same = !owner || (it.key && owner_of_(*it.key).server == owner);
-        late += is_same && it.is_late ? 1 : 0;
+        late += is_same && (it.is_late || it.is_expected_late) ? 1 : 0;
     }
     auto most = static_cast<std::size_t>(std::max(1.0, slots)) * late_per_slot;
     return most > late ? most - late : 0;
@@ -352,9 +356,15 @@
 
 auto admission_scheduler::submit(admission_request request, time_point now) -> void
 {
+    if (request.key && settings_.is_keyed) {
+        double ms = to_ms(request.objective - request.received);
+        keyed_objective_ms_ += objective_weight * (ms - keyed_objective_ms_);
+    }
     if (refuse_if_hopeless(request, true, now)) {
         return;
     }
+    request.is_expected_late =
+        now + expected_wait(request, now) + estimate(request, now) > request.objective;
     queue_.push_back(std::move(request));
     dispatch(now);
 }
@@ -530,7 +540,7 @@
             continue;
         }
         bool turns_late = !it.is_late && now + estimate(it, now) > it.objective;
-        if (turns_late && late_room(it) == 0) {
+        if (turns_late && !it.is_expected_late && late_room(it) == 0) {
             refuse(it, refusal_cause::overload, expected_work(it.work), now);
             continue;
         }
@@ -566,8 +576,11 @@
             work = std::max(work, ms);
         }
     }
-    return 1000.0 * it->second.info.slots /
-           (work * it->second.factor * it->second.usual_slowness);
+    double ms = work * it->second.factor * it->second.usual_slowness;
+    // A server that needs much of the objective for the work alone has little time left for a
+    // queue, so it is counted for less than it could complete.
+    double comfort = keyed_objective_ms_ > 0 ? keyed_objective_ms_ / (comfort_divisor * ms) : 1.0;
+    return 1000.0 * it->second.info.slots / ms * std::pow(std::min(1.0, comfort), comfort_exponent);
 }
 
 auto admission_scheduler::backlog(const server_id& server) const -> std::size_t
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -59,6 +59,8 @@
     std::vector<server_id> excluded;
     /// Set by the scheduler: the response cannot come before the objective.
     bool is_late{false};
+    /// Set by the scheduler: when the request came, the queue was too long for its objective.
+    bool is_expected_late{false};
 };
 
 enum class admission_outcome : std::uint8_t { send, refuse };
@@ -223,6 +225,8 @@
     std::vector<admission_request> queue_;
     std::map<running_key, running_request> running_;
     std::unordered_map<std::uint32_t, double> work_ms_;
+    /// Mean latency objective of requests with a key, in ms; 0 before the first one.
+    double keyed_objective_ms_{0};
     /// Server that a source could not connect to, and when it may be tried again.
     std::map<std::pair<admission_source, server_id>, time_point> unreachable_;
     bool is_dispatching_{false};
--- a/routing/range_planner.cpp
+++ b/routing/range_planner.cpp
@@ -306,8 +306,8 @@
                 best = &load;
             }
         }
-        bool is_fast_enough = best == nullptr || best->server.capacity <
-                                                     hot_group_gain * owner.server.capacity;
+        bool is_fast_enough =
+            best == nullptr || best->server.capacity < hot_group_gain * owner.server.capacity;
         bool stays = best == nullptr || (is_fast_enough && !hosts.contains(owner.server.id));
         auto& host = stays ? owner : *best;
         hosts.emplace(host.server.id, true);
--- a/tests/routing/range_planner_test.cpp
+++ b/tests/routing/range_planner_test.cpp
@@ -146,7 +146,8 @@
         world.plan();
     }
     BOOST_TEST(world.owners[1000] == 7U);
-    auto others = world.heat.rate({0, 65'535}, world.now) - world.heat.rate({1000, 1003}, world.now);
+    auto others =
+        world.heat.rate({0, 65'535}, world.now) - world.heat.rate({1000, 1003}, world.now);
     auto beside = world.utilizations()[7] * 18 - world.heat.rate({1000, 1003}, world.now);
     BOOST_TEST(beside < 0.1 * others);
 }
