Refuse at once when a key's owner cannot be reached by the source

A coordinator renews for 6.5 s instead of 8 s without proof: a successor waits that long for ranges whose owners it cannot ask, and 12 s of refusals after the loss of a coordinator were seen.

--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -23,7 +23,7 @@
     duration renewal{std::chrono::seconds{1}};
     /// Longest time for which leases are renewed without proof from the store that no other
     /// coordinator took over.
-    duration unconfirmed_renewal{std::chrono::seconds{8}};
+    duration unconfirmed_renewal{std::chrono::milliseconds{6500}};
     /// Longest time without such proof in which ranges may change hands. A successor moves nothing
     /// before this time has passed, so two coordinators never move the same range.
     duration unconfirmed_moves{std::chrono::seconds{3}};
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -37,6 +37,8 @@
 constexpr duration unreachable_time = milliseconds{1500};
 /// A server that sheds is left alone for this long.
 constexpr duration shed_time = milliseconds{60};
+/// Shortest time that keys need to move away from a server that may not be used.
+constexpr duration owner_absence = milliseconds{400};
 /// Without a new heartbeat, a suspect server is tried again after this time.
 constexpr duration suspect_time = std::chrono::seconds{4};
 /// Share of a cold server's limit that the scheduling instance uses; the rest is left to instances
@@ -298,6 +300,22 @@
                    capacity);
 }
 
+auto admission_scheduler::owner_usable_at(const server_id& owner, const admission_request& request,
+                                          time_point now) const -> time_point
+{
+    auto out = now;
+    auto it = servers_.find(owner);
+    if (it == servers_.end() || !it->second.info.is_usable) {
+        // Its keys have to move first.
+        return now + owner_absence;
+    }
+    if (it->second.is_suspect) {
+        out = std::max(out, it->second.suspect_since + suspect_time);
+    }
+    auto blocked = unreachable_.find({request.source, owner});
+    return blocked == unreachable_.end() ? out : std::max(out, blocked->second);
+}
+
 auto admission_scheduler::refuse_if_hopeless(const admission_request& request, bool is_new,
                                              time_point now) -> bool
 {
@@ -306,16 +324,22 @@
         refuse(request, refusal_cause::expired, work, now);
         return true;
     }
-    if (!is_new) {
-        return false;
-    }
     if (request.key && settings_.is_keyed && owner_of_) {
         auto owner = owner_of_(*request.key);
         if (!owner.server && owner.available_at + work > request.expires) {
             refuse(request, refusal_cause::no_owner, owner.available_at - now, now);
             return true;
         }
-    } else {
+        auto usable_at = owner.server ? owner_usable_at(*owner.server, request, now) : now;
+        if (usable_at + work > request.expires) {
+            refuse(request, refusal_cause::no_server, usable_at - now, now);
+            return true;
+        }
+    }
+    if (!is_new) {
+        return false;
+    }
+    if (!request.key || !settings_.is_keyed) {
         bool any = std::ranges::any_of(servers_, [&](const auto& it) {
             auto blocked = unreachable_.find({request.source, it.first});
             return it.second.info.is_usable && !it.second.is_suspect &&
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -206,6 +206,9 @@
     auto send(const admission_request& request, server_state& server, time_point now) -> void;
     auto refuse(const admission_request& request, refusal_cause cause, duration retry_after,
                 time_point now) -> void;
+    /// When the owner of a request's key may get requests of its source.
+    auto owner_usable_at(const server_id& owner, const admission_request& request,
+                         time_point now) const -> time_point;
     /// Refuses the request when it cannot be served in time. Returns whether it did.
     auto refuse_if_hopeless(const admission_request& request, bool is_new, time_point now) -> bool;
     /// How many more late requests may wait for the servers of this one.
--- a/tests/routing/admission_scheduler_test.cpp
+++ b/tests/routing/admission_scheduler_test.cpp
@@ -396,6 +396,23 @@
     BOOST_TEST((decisions.at(1).cause == refusal_cause::no_owner));
 }
 
+// Guards against requests that wait until their deadline for an owner behind a cut.
+BOOST_FIXTURE_TEST_CASE(refuses_at_once_when_the_owner_cannot_be_reached, keyed_world)
+{
+    submit(keyed_request(1, 10));
+    finish(1, duration::zero(), attempt_outcome::unreachable);
+    auto next = keyed_request(2, 10);
+    next.expires = time.now() + seconds{1};
+    submit(next);
+    BOOST_TEST(is_refused(2));
+    BOOST_TEST((decisions.at(2).cause == refusal_cause::no_server));
+    // Other sources may still reach it.
+    auto other = keyed_request(3, 10);
+    other.source = admission_source{5};
+    submit(other);
+    BOOST_TEST(is_sent(3));
+}
+
 BOOST_FIXTURE_TEST_CASE(holds_a_key_that_moves_and_sends_it_to_the_new_owner, keyed_world)
 {
     available_at = time.now() + milliseconds{50};
