Test the adapter and the whole gateway against fakes of the store and the servers

They found one fault: an instance whose first append got no answer wrote its record again without end, since the value was made without a look at what had been read. The same check now ends the repeats of an owner's record.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -339,7 +339,13 @@
         return;
     }
     ownership_.write(
-        key, [this]() -> std::optional<std::string> { return settings_.zone.value(); }, [] {});
+        key,
+        [this, key]() -> std::optional<std::string> {
+            // An append without an answer may have taken effect.
+            return own_topic_->records().contains(key) ? std::nullopt
+                                                       : std::optional{settings_.zone.value()};
+        },
+        [] {});
 }
 
 auto gateway::instances() const -> std::uint32_t
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -270,6 +270,13 @@
             if (!is_coordinator_ || !ranges_ || !record_) {
                 return std::nullopt;
             }
+            if (written_ && record_->revision == written_->revision) {
+                // An append without an answer took effect.
+                ranges_->authority().on_recorded(written_ranges_, context_.time.now());
+                if (ranges_->authority().revision() == written_ranges_) {
+                    return std::nullopt;
+                }
+            }
             auto next = *record_;
             next.ranges = ranges_->authority().recorded();
             written_ranges_ = ranges_->authority().revision();
--- /dev/null
+++ b/tests/gateway/fake_backend.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "tests/gateway/fake_http_server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cornelswitch::test {
+
+/// A backend server with key leases. What it does with a request is the test's choice.
+class fake_backend {
+public:
+    using behaviour = std::function<void(fake_backend&, received_request&)>;
+
+    fake_backend(event_loop& loop, std::string id)
+        : id_{std::move(id)}, server_{loop, [this](received_request request) {
+                                          handle(std::move(request));
+                                      }}
+    {
+    }
+
+    auto id() const -> const std::string& { return id_; }
+    auto address() const -> endpoint { return server_.address(); }
+    auto connections() const -> std::size_t { return server_.connections(); }
+
+    /// Entry of this server in service discovery.
+    auto entry(const std::string& service, const std::string& state = "ready", int sequence = 1,
+               const std::string& cold = "0ms") const -> std::string
+    {
+        nlohmann::json out{
+            {"Addr", address().to_text()},
+            {"Info", {{"Service", service}, {"Version", "v1"}, {"Zone", "z1"}, {"Slots", 2}}},
+            {"Status", {{"State", state}, {"Seq", sequence}, {"ColdLeft", cold}}},
+            {"born", 1'700'000'000'000}};
+        return out.dump();
+    }
+
+    static auto header(const received_request& request, const std::string& name) -> std::string
+    {
+        const auto* it = find_header(request.head.headers, name);
+        return it != nullptr ? *it : "";
+    }
+
+    auto good_response(const received_request& request, const std::string& body = "hello") const
+        -> std::string
+    {
+        return fake_http_server::response(200,
+                                          "x-request-id: " + header(request, "x-request-id") +
+                                              "\r\nx-response-seal: s." + id_ + "\r\n",
+                                          body);
+    }
+
+    auto holds(std::uint32_t key) const -> bool
+    {
+        for (const auto& [range, token] : held) {
+            if (range.first <= key && key <= range.second) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    behaviour act{[](fake_backend& self, received_request& request) {
+        request.send(self.good_response(request));
+    }};
+    bool is_keyed{false};
+    /// Ids of the requests that ran, in order.
+    std::vector<std::string> runs;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint64_t> held;
+    std::vector<received_request> open;
+
+private:
+    auto handle(received_request request) -> void
+    {
+        auto expected = header(request, "x-expect-instance");
+        if (!expected.empty() && expected != id_) {
+            request.send(fake_http_server::response(421, "x-instance-id: " + id_ + "\r\n", ""));
+            return;
+        }
+        if (request.head.target == "/-/grant" || request.head.target == "/-/release") {
+            change_lease(request);
+            return;
+        }
+        auto key = header(request, "x-shard-key");
+        if (is_keyed && !key.empty() && !holds(static_cast<std::uint32_t>(std::stoul(key)))) {
+            request.send(fake_http_server::response(
+                421, "x-not-executed: 1\r\nx-instance-id: " + id_ + "\r\n", ""));
+            return;
+        }
+        runs.push_back(header(request, "x-request-id"));
+        act(*this, request);
+    }
+
+    auto change_lease(const received_request& request) -> void
+    {
+        auto body = nlohmann::json::parse(request.body);
+        std::pair range{body.at("FromRev").get<std::uint32_t>(),
+                        body.at("To").get<std::uint32_t>()};
+        if (request.head.target == "/-/grant") {
+            held[range] = body.at("fence").get<std::uint64_t>();
+            request.send(fake_http_server::response(200, "", ""));
+            return;
+        }
+        held.erase(range);
+        request.send(fake_http_server::response(200, "x-handover: token\r\n", ""));
+    }
+
+    std::string id_;
+    fake_http_server server_;
+};
+
+} // namespace cornelswitch::test
--- /dev/null
+++ b/tests/gateway/fake_store.h
@@ -0,0 +1,206 @@
+#pragma once
+
+#include "adapters/base64.h"
+#include "tests/gateway/fake_http_server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cornelswitch::test {
+
+/// The metadata store as its protocol describes it: keyed topics with conditional appends, held
+/// reads, retention, and groups whose partitions one member holds.
+class fake_store {
+public:
+    explicit fake_store(event_loop& loop)
+        : server_{loop, [this](received_request request) { handle(std::move(request)); }}
+    {
+    }
+
+    auto address() const -> endpoint { return server_.address(); }
+
+    /// Appends as an operator or a server does.
+    auto put(const std::string& topic, const std::string& key, const std::string& value) -> void
+    {
+        topics_[topic].records.emplace_back(key, value);
+        answer_held();
+    }
+    /// Drops the records of a topic but for the newest of each key.
+    auto compact(const std::string& topic) -> void
+    {
+        topics_[topic].first = topics_[topic].records.size();
+    }
+
+    bool is_down{false};
+    /// Appends take effect, but their answers are lost.
+    bool loses_answers{false};
+    int appends{0};
+    int calls{0};
+
+private:
+    struct topic_state {
+        std::vector<std::pair<std::string, std::string>> records;
+        std::size_t first{0};
+    };
+    struct held_read {
+        std::string topic;
+        std::size_t from{0};
+        received_request request;
+    };
+
+    static auto query(const std::string& target, const std::string& name) -> std::string
+    {
+        auto at = target.find(name + "=");
+        if (at == std::string::npos) {
+            return {};
+        }
+        at += name.size() + 1;
+        return target.substr(at, target.find('&', at) - at);
+    }
+
+    static auto big_endian(std::uint64_t value, std::size_t bytes) -> std::string
+    {
+        std::string out;
+        for (std::size_t n = bytes; n > 0; --n) {
+            out.push_back(static_cast<char>((value >> ((n - 1) * 8)) & 0xffU));
+        }
+        return out;
+    }
+
+    auto handle(received_request request) -> void
+    {
+        ++calls;
+        if (is_down) {
+            request.send(fake_http_server::response(503, "", ""));
+            return;
+        }
+        const auto target = request.head.target;
+        if (target.starts_with("/-/log-read")) {
+            read(std::move(request));
+        } else if (target.starts_with("/-/log-newest")) {
+            newest(request);
+        } else if (target.starts_with("/-/log-append")) {
+            append(request);
+        } else if (target.starts_with("/-/log-join")) {
+            join(request);
+        } else {
+            request.send(fake_http_server::response(200, "", "{}"));
+        }
+    }
+
+    auto read(received_request request) -> void
+    {
+        auto topic = query(request.head.target, "Topic");
+        auto from = std::stoul(query(request.head.target, "FromRev"));
+        auto& state = topics_[topic];
+        if (from < state.first) {
+            request.send(fake_http_server::response(
+                410, "", R"({"FirstOffset":)" + std::to_string(state.first) + "}"));
+            return;
+        }
+        bool may_wait = !query(request.head.target, "WaitMs").empty();
+        if (from >= state.records.size() && may_wait) {
+            held_.push_back({topic, from, std::move(request)});
+            return;
+        }
+        answer_read(topic, from, request);
+    }
+
+    auto answer_read(const std::string& topic, std::size_t from, const received_request& request)
+        -> void
+    {
+        auto& state = topics_[topic];
+        auto body = big_endian(state.records.size(), 8) + big_endian(state.first, 8);
+        for (auto n = from; n < state.records.size(); ++n) {
+            const auto& [key, value] = state.records[n];
+            body += big_endian(1 + key.size() + value.size(), 4);
+            body.push_back(static_cast<char>(key.size()));
+            body += key + value;
+        }
+        request.send(fake_http_server::response(200, "", body));
+    }
+
+    auto answer_held() -> void
+    {
+        auto held = std::move(held_);
+        held_.clear();
+        for (auto& it : held) {
+            if (it.from < topics_[it.topic].records.size()) {
+                answer_read(it.topic, it.from, it.request);
+            } else {
+                held_.push_back(std::move(it));
+            }
+        }
+    }
+
+    auto newest(const received_request& request) -> void
+    {
+        auto& state = topics_[query(request.head.target, "Topic")];
+        std::map<std::string, std::pair<std::string, std::size_t>> keys;
+        for (std::size_t n = 0; n < state.records.size(); ++n) {
+            const auto& [key, value] = state.records[n];
+            if (value.empty()) {
+                keys.erase(key);
+            } else {
+                keys[key] = {value, n};
+            }
+        }
+        auto items = nlohmann::json::array();
+        for (const auto& [key, it] : keys) {
+            items.push_back(
+                {{"Key", key}, {"Value", encode_base64(it.first)}, {"Offset", it.second}});
+        }
+        nlohmann::json body{
+            {"items", items}, {"HasMore", false}, {"EndOffset", state.records.size()}};
+        request.send(fake_http_server::response(200, "", body.dump()));
+    }
+
+    auto append(const received_request& request) -> void
+    {
+        ++appends;
+        auto& state = topics_[query(request.head.target, "Topic")];
+        auto condition = query(request.head.target, "AsOf");
+        auto end = [&] { return R"("EndOffset":)" + std::to_string(state.records.size()) + "}"; };
+        if (!condition.empty() && std::stoul(condition) != state.records.size()) {
+            request.send(fake_http_server::response(412, "", "{" + end()));
+            return;
+        }
+        auto key_bytes = static_cast<unsigned char>(request.body.at(4));
+        state.records.emplace_back(request.body.substr(5, key_bytes),
+                                   request.body.substr(5U + key_bytes));
+        if (loses_answers) {
+            request.reset();
+        } else {
+            request.send(fake_http_server::response(200, "", R"({"Offset":0,)" + end()));
+        }
+        answer_held();
+    }
+
+    auto join(const received_request& request) -> void
+    {
+        // The first member holds every partition.
+        auto body = nlohmann::json::parse(request.body);
+        auto member = body.at("Member").get<std::string>();
+        if (holder_.empty()) {
+            holder_ = member;
+        }
+        auto parts = nlohmann::json::array();
+        for (int n = 0; n < 8 && holder_ == member; ++n) {
+            parts.push_back({body.at("Topics").at(0), n, 0});
+        }
+        nlohmann::json out{{"Generation", 1}, {"parts", parts}};
+        request.send(fake_http_server::response(200, "", out.dump()));
+    }
+
+    fake_http_server server_;
+    std::map<std::string, topic_state> topics_;
+    std::vector<held_read> held_;
+    std::string holder_;
+};
+
+} // namespace cornelswitch::test
--- /dev/null
+++ b/tests/gateway/gateway_test.cpp
@@ -0,0 +1,569 @@
+#include "gateway/gateway.h"
+#include "tests/adapters/loop_fixture.h"
+#include "tests/adapters/raw_connection.h"
+#include "tests/gateway/fake_backend.h"
+#include "tests/gateway/fake_store.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace cornelswitch {
+namespace {
+
+using namespace test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+auto free_port() -> std::uint16_t
+{
+    int fd = open_listener({"127.0.0.1", 0}).value();
+    auto port = bound_port(fd);
+    close(fd);
+    return port;
+}
+
+/// First of two neighbouring free ports below those that the system hands out by itself.
+auto free_port_pair() -> std::uint16_t
+{
+    static std::uint16_t next = static_cast<std::uint16_t>(12'000 + getpid() % 8000);
+    while (true) {
+        next = static_cast<std::uint16_t>(next + 2);
+        auto first = open_listener({"127.0.0.1", next});
+        auto second = open_listener({"127.0.0.1", static_cast<std::uint16_t>(next + 1)});
+        if (first.has_value()) {
+            close(first.value());
+        }
+        if (second.has_value()) {
+            close(second.value());
+        }
+        if (first.has_value() && second.has_value()) {
+            return next;
+        }
+    }
+}
+
+/// One instance with a fake store and two fake servers of each service.
+struct gateway_fixture : loop_fixture {
+    gateway_fixture()
+        : store{loop}, a{loop, "a"}, b{loop, "b"}, k1{loop, "k1"}, k2{loop, "k2"}, events{
+                                                                                       loop.time(),
+                                                                                       -1, "i1",
+                                                                                       "z1"}
+    {
+        k1.is_keyed = true;
+        k2.is_keyed = true;
+        settings.node = instance_id{"i1"};
+        settings.zone = zone_id{"z1"};
+        settings.callers = {"127.0.0.1", free_port()};
+        settings.readiness = {"127.0.0.1", free_port()};
+        settings.peers = {"127.0.0.1", free_port_pair()};
+        settings.store = store.address();
+        settings.retry_burst = 60;
+        settings.shutdown_grace = seconds{6};
+    }
+
+    static auto configuration(int version, const std::string& extra_routes = "") -> std::string
+    {
+        return R"({"Version":"r)" + std::to_string(version) +
+               R"(","Routes":[{"Name":"read","Host":"h","PathPrefix":"/read/","RouteKind":"idempotent",)"
+               R"("Timeout":"1500ms","TargetLatency":"500ms","Service":"plain","MaxAttempts":2},)"
+               R"({"Name":"write","Host":"h","PathPrefix":"/write/","RouteKind":"non_idempotent",)"
+               R"("Timeout":"1500ms","TargetLatency":"500ms","Service":"plain","MaxAttempts":2},)"
+               R"({"Name":"keyed","Host":"h","PathPrefix":"/keyed/","RouteKind":"idempotent",)"
+               R"("Timeout":"1500ms","TargetLatency":"500ms","Service":"index","MaxAttempts":2})" +
+               extra_routes +
+               R"(],"Services":[{"Name":"plain","MaxConns":100,"Cold":"3s","ColdPerS":4.0},)"
+               R"({"Name":"index","MaxConns":100,"Cold":"3s","ColdPerS":4.0,"Sharded":true}]})";
+    }
+
+    auto start() -> void
+    {
+        store.put("keyed.op", "config", configuration(1));
+        store.put("keyed.servers", "a", a.entry("plain"));
+        store.put("keyed.servers", "b", b.entry("plain"));
+        store.put("keyed.servers", "k1", k1.entry("index"));
+        store.put("keyed.servers", "k2", k2.entry("index"));
+        start_empty();
+        run_until([&] { return ready() && k1.holds(0) && k2.holds(65'535); });
+    }
+
+    auto start_empty() -> void
+    {
+        it = std::make_unique<gateway>(loop, settings, events, boot_id{7});
+        BOOST_REQUIRE(it->start().has_value());
+    }
+
+    auto connect() -> std::unique_ptr<raw_connection>
+    {
+        return std::make_unique<raw_connection>(settings.callers);
+    }
+
+    static auto request(const std::string& path, const std::string& id,
+                        const std::string& more = "") -> std::string
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+               "\r\nX-Deadline-Ms: 2000\r\n" + more + "\r\n";
+    }
+
+    /// Sends one request on a new connection and returns the whole response.
+    auto call(const std::string& bytes) -> std::string
+    {
+        auto connection = connect();
+        connection->send(bytes);
+        run_until([&] {
+            connection->receive();
+            return is_whole(connection->received);
+        });
+        return connection->received;
+    }
+
+    static auto is_whole(const std::string& response) -> bool
+    {
+        auto head = response.find("\r\n\r\n");
+        auto length = response.find("content-length: ");
+        return head != std::string::npos && length != std::string::npos &&
+               response.size() >= head + 4 + std::stoul(response.substr(length + 16));
+    }
+
+    auto ready() -> bool
+    {
+        raw_connection probe{settings.readiness};
+        probe.send("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+        run_until([&] {
+            probe.receive();
+            return is_whole(probe.received);
+        });
+        return probe.received.starts_with("HTTP/1.1 200");
+    }
+
+    static auto status(const std::string& response) -> std::string { return response.substr(9, 3); }
+
+    fake_store store;
+    fake_backend a;
+    fake_backend b;
+    fake_backend k1;
+    fake_backend k2;
+    event_log events;
+    node_settings settings;
+    std::unique_ptr<gateway> it;
+};
+
+BOOST_FIXTURE_TEST_SUITE(a_gateway, gateway_fixture)
+
+BOOST_AUTO_TEST_SUITE(that_starts)
+
+BOOST_AUTO_TEST_CASE(refuses_and_is_not_ready_until_it_has_a_configuration)
+{
+    start_empty();
+    BOOST_TEST(!ready());
+    auto response = call(request("/read/1", "r1"));
+    BOOST_TEST(status(response) == "503");
+    BOOST_TEST(response.find("Retry-After: ") != std::string::npos);
+    store.put("keyed.op", "config", configuration(1));
+    run_until([&] { return ready(); });
+}
+
+BOOST_AUTO_TEST_CASE(waits_for_a_store_that_is_down)
+{
+    store.is_down = true;
+    start_empty();
+    run_for(milliseconds{300});
+    BOOST_TEST(!ready());
+    store.put("keyed.op", "config", configuration(1));
+    store.is_down = false;
+    run_until([&] { return ready(); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(on_a_calm_day)
+
+BOOST_AUTO_TEST_CASE(passes_on_a_servers_response_unchanged)
+{
+    start();
+    auto response = call(request("/read/1", "r1"));
+    BOOST_TEST(status(response) == "200");
+    BOOST_TEST(response.find("x-response-seal: s.") != std::string::npos);
+    BOOST_TEST(response.ends_with("hello"));
+    BOOST_TEST(a.runs.size() + b.runs.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(answers_404_where_no_route_matches)
+{
+    start();
+    BOOST_TEST(status(call(request("/nowhere/1", "r1"))) == "404");
+}
+
+BOOST_AUTO_TEST_CASE(sends_a_key_to_the_server_that_holds_it)
+{
+    start();
+    BOOST_TEST(status(call(request("/keyed/1", "r1", "X-Shard-Key: 5\r\n"))) == "200");
+    BOOST_TEST(k1.runs.size() == 1U);
+    BOOST_TEST(status(call(request("/keyed/1", "r2", "X-Shard-Key: 65000\r\n"))) == "200");
+    BOOST_TEST(k2.runs.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(answers_pipelined_requests_in_order)
+{
+    start();
+    std::vector<received_request> waiting;
+    auto hold = [&](fake_backend&, received_request& request) { waiting.push_back(request); };
+    a.act = hold;
+    b.act = hold;
+    auto connection = connect();
+    connection->send(request("/read/1", "r1") + request("/read/2", "r2"));
+    run_until([&] { return waiting.size() == 2; });
+    // The second one is answered first.
+    std::ranges::sort(waiting, [](const auto& left, const auto& right) {
+        return fake_backend::header(left, "x-request-id") >
+               fake_backend::header(right, "x-request-id");
+    });
+    waiting[0].send(a.good_response(waiting[0], "second"));
+    run_for(milliseconds{50});
+    connection->receive();
+    BOOST_TEST(connection->received.empty());
+    waiting[1].send(a.good_response(waiting[1], "first"));
+    run_until([&] {
+        connection->receive();
+        return connection->received.ends_with("second");
+    });
+    BOOST_TEST(connection->received.find("first") < connection->received.find("second"));
+}
+
+BOOST_AUTO_TEST_CASE(rejects_what_is_no_request)
+{
+    start();
+    BOOST_TEST(status(call("nonsense\r\n\r\n")) == "400");
+    BOOST_TEST(status(call("GET /read/1 HTTP/1.1\r\nHost: h\r\nX: " + std::string(20'000, 'x') +
+                           "\r\n\r\n")) == "431");
+    // Two framings at once could hide a second request.
+    BOOST_TEST(status(call("POST /write/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")) == "400");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_servers_that_fail)
+
+BOOST_AUTO_TEST_CASE(never_runs_a_non_idempotent_request_twice)
+{
+    start();
+    auto reset = [](fake_backend&, received_request& request) { request.reset(); };
+    a.act = reset;
+    b.act = reset;
+    auto response = call(request("/write/1", "r1"));
+    BOOST_TEST(status(response) == "502");
+    BOOST_TEST(response.find("Retry-After") == std::string::npos);
+    BOOST_TEST(a.runs.size() + b.runs.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(sends_an_idempotent_request_to_another_server)
+{
+    start();
+    auto first_fails = [&](fake_backend& self, received_request& request) {
+        if (a.runs.size() + b.runs.size() == 1) {
+            request.reset();
+            return;
+        }
+        request.send(self.good_response(request));
+    };
+    a.act = first_fails;
+    b.act = first_fails;
+    BOOST_TEST(status(call(request("/read/1", "r1"))) == "200");
+    BOOST_TEST(a.runs.size() == 1U);
+    BOOST_TEST(b.runs.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(replaces_a_truncated_response)
+{
+    start();
+    auto first_is_cut = [&](fake_backend& self, received_request& request) {
+        auto whole = self.good_response(request, "a body of some length");
+        if (a.runs.size() + b.runs.size() == 1) {
+            request.send(whole.substr(0, whole.size() - 5));
+            loop.schedule(milliseconds{5}, [request] { request.reset(); });
+            return;
+        }
+        request.send(whole);
+    };
+    a.act = first_is_cut;
+    b.act = first_is_cut;
+    auto response = call(request("/read/1", "r1"));
+    BOOST_TEST(status(response) == "200");
+    BOOST_TEST(response.ends_with("a body of some length"));
+}
+
+BOOST_AUTO_TEST_CASE(never_takes_another_requests_response)
+{
+    start();
+    auto with_stray = [](fake_backend& self, received_request& request) {
+        request.send(fake_http_server::response(
+            200, "x-request-id: other\r\nx-response-seal: s\r\n", "stray"));
+        request.send(self.good_response(request));
+    };
+    a.act = with_stray;
+    b.act = with_stray;
+    auto response = call(request("/read/1", "r1"));
+    BOOST_TEST(response.ends_with("hello"));
+    BOOST_TEST(response.find("stray") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(gives_up_a_connection_with_bytes_that_nobody_asked_for)
+{
+    start();
+    auto with_surplus = [](fake_backend& self, received_request& request) {
+        request.send(self.good_response(request) + self.good_response(request, "surplus"));
+    };
+    a.act = with_surplus;
+    b.act = with_surplus;
+    for (const auto* id : {"r1", "r2", "r3", "r4"}) {
+        auto response = call(request("/read/1", id));
+        BOOST_TEST(status(response) == "200");
+        BOOST_TEST(response.find("surplus") == std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(passes_on_a_refusal_of_the_server_as_one_of_its_own)
+{
+    start();
+    auto shed = [](fake_backend&, received_request& request) {
+        request.send(fake_http_server::response(503, "x-not-executed: 1\r\n", ""));
+    };
+    a.act = shed;
+    b.act = shed;
+    auto response = call(request("/write/1", "r1"));
+    BOOST_TEST(status(response) == "503");
+    BOOST_TEST(response.find("Retry-After: ") != std::string::npos);
+}
+
+// Guards against a promise that the request did not run, made by a server that may have run it.
+BOOST_AUTO_TEST_CASE(does_not_turn_a_servers_failure_into_a_promise)
+{
+    start();
+    auto fail = [](fake_backend&, received_request& request) {
+        request.send(fake_http_server::response(
+            503,
+            "x-request-id: " + fake_backend::header(request, "x-request-id") +
+                "\r\nx-response-seal: s\r\n",
+            "failed"));
+    };
+    a.act = fail;
+    b.act = fail;
+    auto response = call(request("/write/1", "r1"));
+    BOOST_TEST(status(response) == "502");
+    BOOST_TEST(response.find("x-response-seal") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ends_a_request_at_its_routes_timeout)
+{
+    start();
+    auto ignore = [](fake_backend& self, received_request& request) {
+        self.open.push_back(request);
+    };
+    a.act = ignore;
+    b.act = ignore;
+    auto begin = loop.now();
+    BOOST_TEST(status(call(request("/read/1", "r1"))) == "504");
+    auto took = loop.now() - begin;
+    BOOST_TEST((took >= milliseconds{1450}));
+    // The server is told to stop.
+    run_until([&] {
+        auto& open = a.open.empty() ? b.open : a.open;
+        return !open.empty() && open.front().is_closed();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(stops_the_work_of_a_caller_that_left)
+{
+    start();
+    auto ignore = [](fake_backend& self, received_request& request) {
+        self.open.push_back(request);
+    };
+    a.act = ignore;
+    b.act = ignore;
+    auto connection = connect();
+    connection->send(request("/read/1", "r1"));
+    run_until([&] { return !a.open.empty() || !b.open.empty(); });
+    connection.reset();
+    run_until([&] {
+        auto& open = a.open.empty() ? b.open : a.open;
+        return open.front().is_closed();
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_servers_that_come_and_go)
+
+BOOST_AUTO_TEST_CASE(sends_nothing_to_a_server_that_drains)
+{
+    start();
+    store.put("keyed.servers", "a", a.entry("plain", "draining", 2));
+    run_for(milliseconds{800});
+    for (int n = 0; n < 6; ++n) {
+        call(request("/read/1", "r" + std::to_string(n)));
+    }
+    BOOST_TEST(a.runs.empty());
+    BOOST_TEST(b.runs.size() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(moves_the_keys_of_a_server_that_drains)
+{
+    start();
+    store.put("keyed.servers", "k1", k1.entry("index", "draining", 2));
+    run_until([&] { return k2.holds(5) && !k1.holds(5); });
+    BOOST_TEST(status(call(request("/keyed/1", "r1", "X-Shard-Key: 5\r\n"))) == "200");
+    BOOST_TEST(k2.runs.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(sends_nothing_to_a_zone_that_is_evacuated)
+{
+    start();
+    store.put("keyed.op", "evacuate/z1", "{}");
+    run_for(milliseconds{400});
+    BOOST_TEST(status(call(request("/read/1", "r1"))) == "503");
+    store.put("keyed.op", "evacuate/z1", "");
+    run_until([&] { return status(call(request("/read/1", "r2"))) == "200"; });
+}
+
+BOOST_AUTO_TEST_CASE(ignores_entries_that_cannot_be_read)
+{
+    start();
+    store.put("keyed.servers", "bad", "\xff{");
+    store.put("keyed.servers", "worse", R"({"Addr":5})");
+    run_for(milliseconds{700});
+    BOOST_TEST(status(call(request("/read/1", "r1"))) == "200");
+}
+
+BOOST_AUTO_TEST_CASE(starts_over_when_records_were_deleted)
+{
+    start();
+    store.put("keyed.servers", "a", "");
+    store.compact("keyed.servers");
+    run_for(milliseconds{900});
+    for (int n = 0; n < 4; ++n) {
+        call(request("/read/1", "r" + std::to_string(n)));
+    }
+    BOOST_TEST(a.runs.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(whose_store_fails)
+
+BOOST_AUTO_TEST_CASE(serves_on_and_keeps_its_leases)
+{
+    start();
+    store.is_down = true;
+    run_for(milliseconds{2500});
+    BOOST_TEST(status(call(request("/read/1", "r1"))) == "200");
+    BOOST_TEST(status(call(request("/keyed/1", "r2", "X-Shard-Key: 5\r\n"))) == "200");
+    BOOST_TEST(ready());
+}
+
+BOOST_AUTO_TEST_CASE(never_goes_back_to_an_older_configuration)
+{
+    start();
+    auto added = R"(,{"Name":"new","Host":"h","PathPrefix":"/new/","RouteKind":"idempotent",)"
+                 R"("Service":"plain","MaxAttempts":2})";
+    store.put("keyed.op", "config", configuration(5, added));
+    run_until([&] { return status(call(request("/new/1", "r1"))) == "200"; });
+    store.put("keyed.op", "config", configuration(3));
+    run_for(milliseconds{400});
+    BOOST_TEST(status(call(request("/new/1", "r2"))) == "200");
+}
+
+BOOST_AUTO_TEST_CASE(records_owners_although_answers_to_appends_are_lost)
+{
+    store.loses_answers = true;
+    start();
+    store.loses_answers = false;
+    BOOST_TEST(status(call(request("/keyed/1", "r1", "X-Shard-Key: 5\r\n"))) == "200");
+    // The take-over of two services, one instance, one set of owners, and few repeats.
+    BOOST_TEST(store.appends < 12);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_shuts_down)
+
+BOOST_AUTO_TEST_CASE(finishes_what_it_has_read_and_announces_the_end)
+{
+    start();
+    std::vector<received_request> waiting;
+    auto hold = [&](fake_backend&, received_request& request) { waiting.push_back(request); };
+    a.act = hold;
+    b.act = hold;
+    auto connection = connect();
+    connection->send(request("/read/1", "r1"));
+    run_until([&] { return waiting.size() == 1; });
+    it->shut_down();
+    BOOST_TEST(!ready());
+    run_for(milliseconds{100});
+    waiting[0].send(a.good_response(waiting[0]));
+    run_until([&] { return !connection->receive(); });
+    BOOST_TEST(connection->received.ends_with("hello"));
+    BOOST_TEST(connection->received.find("Connection: close") != std::string::npos);
+    run_until([&] { return it->is_finished(); });
+}
+
+// Guards against a connection that stays open but reads nothing any more: its last response was
+// ready before the shutdown and waited behind a slower one.
+BOOST_AUTO_TEST_CASE(answers_the_next_request_when_it_was_too_late_to_announce_the_end)
+{
+    start();
+    std::vector<received_request> waiting;
+    auto hold = [&](fake_backend&, received_request& request) { waiting.push_back(request); };
+    a.act = hold;
+    b.act = hold;
+    auto connection = connect();
+    connection->send(request("/read/1", "r1") + request("/read/2", "r2"));
+    run_until([&] { return waiting.size() == 2; });
+    std::ranges::sort(waiting, [](const auto& left, const auto& right) {
+        return fake_backend::header(left, "x-request-id") <
+               fake_backend::header(right, "x-request-id");
+    });
+    waiting[1].send(a.good_response(waiting[1], "second"));
+    run_for(milliseconds{50});
+    it->shut_down();
+    waiting[0].send(a.good_response(waiting[0], "first"));
+    run_until([&] {
+        connection->receive();
+        return connection->received.ends_with("second");
+    });
+    auto answer = [](fake_backend& self, received_request& request) {
+        request.send(self.good_response(request, "third"));
+    };
+    a.act = answer;
+    b.act = answer;
+    connection->send(request("/read/3", "r3"));
+    run_until([&] { return !connection->receive(); });
+    BOOST_TEST(connection->received.ends_with("third"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(for_operators)
+
+BOOST_AUTO_TEST_CASE(serves_counters_and_histograms)
+{
+    start();
+    call(request("/read/1", "r1"));
+    raw_connection metrics{{"127.0.0.1", static_cast<std::uint16_t>(settings.peers.port + 1)}};
+    metrics.send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_until([&] {
+        metrics.receive();
+        return is_whole(metrics.received);
+    });
+    BOOST_TEST(metrics.received.find("cornelswitch_requests_total 1") != std::string::npos);
+    BOOST_TEST(metrics.received.find("cornelswitch_request_ms_bucket{label=\"read\"") !=
+               std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cornelswitch
--- /dev/null
+++ b/tests/platform/discovery_codec_test.cpp
@@ -0,0 +1,151 @@
+#include "platform/discovery_codec.h"
+#include "platform/store_names.h"
+#include "platform/wire_json.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cornelswitch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string good_entry =
+    R"({"Addr":"127.0.0.9:8080","Info":{"Service":"index","Version":"v1","Zone":"z1","Slots":2},)"
+    R"("Status":{"State":"ready","Seq":4,"ColdLeft":"150ms"},"born":1700000000000})";
+
+const std::string good_configuration =
+    R"({"Version":"r7","Routes":[)"
+    R"({"Name":"a","Host":"h.example","PathPrefix":"/x/","RouteKind":"non_idempotent","Timeout":"1200ms",)"
+    R"("TargetLatency":"600ms","Priority":1,"Service":"desk","MaxAttempts":2},)"
+    R"({"Name":"b","Host":"h.example","PathPrefix":"/x/y/","RouteKind":"idempotent","Priority":2,)"
+    R"("Split":[{"Service":"index","Weight":90},{"Service":"desk","Weight":10}],"MaxAttempts":2}],)"
+    R"("Services":[{"Name":"index","MaxConns":130,"Cold":"3s","ColdPerS":4.0,"Sharded":true,"Warmup":"3s"},)"
+    R"({"Name":"desk","MaxConns":130,"Cold":"3s","ColdPerS":4.0}],)"
+    R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}})";
+
+auto replaced(std::string text, const std::string& from, const std::string& to) -> std::string
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+BOOST_AUTO_TEST_SUITE(an_entry_of_a_server)
+
+BOOST_AUTO_TEST_CASE(is_read_into_a_typed_entry)
+{
+    auto read = decode_backend_entry("i-1", good_entry);
+    BOOST_REQUIRE(read.has_value());
+    const auto& it = read.value();
+    BOOST_TEST(it.id.value() == "i-1");
+    BOOST_TEST(it.service.value() == "index");
+    BOOST_TEST(it.address.to_text() == "127.0.0.9:8080");
+    BOOST_TEST(it.slots == 2U);
+    BOOST_TEST(!it.is_draining);
+    BOOST_TEST((it.cold_left == milliseconds{150}));
+    BOOST_TEST(it.incarnation.value() == 1'700'000'000'000);
+}
+
+BOOST_AUTO_TEST_CASE(names_no_server_when_a_field_is_missing)
+{
+    for (const auto* field : {"\"Addr\"", "\"Service\"", "\"Zone\"", "\"Slots\"", "\"State\"",
+                              "\"Seq\"", "\"ColdLeft\"", "\"Info\"", "\"Status\""}) {
+        BOOST_TEST(
+            decode_backend_entry("i-1", replaced(good_entry, field, "\"other\"")).has_error());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(names_no_server_when_a_field_is_of_another_type)
+{
+    BOOST_TEST(decode_backend_entry("i-1", replaced(good_entry, "\"Slots\":2", "\"Slots\":\"2\""))
+                   .has_error());
+    BOOST_TEST(
+        decode_backend_entry("i-1", replaced(good_entry, "\"Seq\":4", "\"Seq\":[]")).has_error());
+    BOOST_TEST(decode_backend_entry("i-1", replaced(good_entry, "ready", "sleeping")).has_error());
+    BOOST_TEST(
+        decode_backend_entry("i-1", replaced(good_entry, "1700000000000", "\"now\"")).has_error());
+    BOOST_TEST(
+        decode_backend_entry("i-1", replaced(good_entry, "127.0.0.9:8080", "nowhere")).has_error());
+}
+
+BOOST_AUTO_TEST_CASE(names_no_server_when_its_bytes_cannot_be_read)
+{
+    BOOST_TEST(decode_backend_entry("i-1", "\xff\xfe{").has_error());
+    BOOST_TEST(decode_backend_entry("i-1", "[]").has_error());
+    BOOST_TEST(decode_backend_entry("", good_entry).has_error());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_configuration)
+
+BOOST_AUTO_TEST_CASE(is_read_with_routes_services_and_limits)
+{
+    auto read = decode_configuration(good_configuration);
+    BOOST_REQUIRE(read.has_value());
+    const auto& it = read.value();
+    BOOST_TEST(it.version == 7U);
+    BOOST_TEST(it.routes.size() == 2U);
+    BOOST_TEST((it.routes[0].kind == request_kind::non_idempotent));
+    BOOST_TEST((it.routes[0].timeout == milliseconds{1200}));
+    BOOST_TEST(it.routes[1].targets.size() == 2U);
+    BOOST_TEST(it.routes[1].targets[0].weight == 9 * it.routes[1].targets[1].weight);
+    BOOST_TEST(it.services.at(service_id{"index"}).is_keyed);
+    BOOST_TEST(!it.services.at(service_id{"desk"}).is_keyed);
+    BOOST_TEST((it.limits.idle_timeout == seconds{15}));
+    BOOST_TEST(it.limits.max_body_bytes == 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(selects_the_longest_prefix_of_its_host)
+{
+    auto read = decode_configuration(good_configuration);
+    route_table routes{read.value().routes};
+    BOOST_TEST(routes.find("h.example", "/x/1")->name == "a");
+    BOOST_TEST(routes.find("H.example:8080", "/x/y/1?q=/z/")->name == "b");
+    BOOST_TEST(routes.find("h.example", "/xy/") == nullptr);
+    BOOST_TEST(routes.find("other.example", "/x/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(treats_an_unknown_kind_as_one_that_must_not_be_repeated)
+{
+    auto read = decode_configuration(replaced(good_configuration, "\"idempotent\"", "\"odd\""));
+    BOOST_TEST((read.value().routes[1].kind == request_kind::non_idempotent));
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_when_a_part_is_missing_or_of_another_type)
+{
+    for (const auto* field : {"\"Version\"", "\"Routes\"", "\"Services\"", "\"Host\"",
+                              "\"PathPrefix\"", "\"RouteKind\"", "\"Split\""}) {
+        BOOST_TEST(
+            decode_configuration(replaced(good_configuration, field, "\"other\"")).has_error());
+    }
+    BOOST_TEST(decode_configuration(replaced(good_configuration, "\"r7\"", "7")).has_error());
+    BOOST_TEST(decode_configuration(replaced(good_configuration, "\"r7\"", "\"7\"")).has_error());
+    BOOST_TEST(decode_configuration("{").has_error());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(names_and_times)
+
+BOOST_AUTO_TEST_CASE(tell_the_operators_records_apart)
+{
+    BOOST_TEST(is_configuration_key("config"));
+    BOOST_TEST(!is_configuration_key("config2"));
+    BOOST_TEST(evacuated_zone("evacuate/z1")->value() == "z1");
+    BOOST_TEST(!evacuated_zone("other/z1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(are_read_with_their_unit)
+{
+    BOOST_TEST((wire::parse_duration("1500ms") == milliseconds{1500}));
+    BOOST_TEST((wire::parse_duration("2.5s") == milliseconds{2500}));
+    for (const auto* text : {"", "ms", "5", "5m", "-1s", "1e99s", "nan s"}) {
+        BOOST_TEST(!wire::parse_duration(text).has_value());
+    }
+    BOOST_TEST(wire::duration_text(milliseconds{4000}) == "4000ms");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cornelswitch
--- /dev/null
+++ b/tests/platform/request_codec_test.cpp
@@ -0,0 +1,133 @@
+#include "platform/request_codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cornelswitch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+auto caller_head() -> http1_head
+{
+    http1_head out;
+    out.method = "GET";
+    out.target = "/x/1?q=2";
+    out.headers = {{"host", "h.example"},      {"x-request-id", "abc"},
+                   {"x-deadline-ms", "1500"},  {"x-shard-key", "41210"},
+                   {"accept", "*/*"},          {"connection", "keep-alive"},
+                   {"x-expect-instance", "me"}};
+    return out;
+}
+
+BOOST_AUTO_TEST_SUITE(a_request_of_a_caller)
+
+BOOST_AUTO_TEST_CASE(is_decoded_into_its_fields)
+{
+    auto it = decode_caller_request(caller_head().headers);
+    BOOST_TEST(it.id == "abc");
+    BOOST_TEST((it.deadline == milliseconds{1500}));
+    BOOST_TEST(*it.key == 41'210);
+}
+
+BOOST_AUTO_TEST_CASE(may_lack_every_field)
+{
+    auto it = decode_caller_request({});
+    BOOST_TEST(it.id.empty());
+    BOOST_TEST(!it.deadline.has_value());
+    BOOST_TEST(!it.key.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(loses_fields_that_cannot_be_read)
+{
+    auto it = decode_caller_request({{"x-deadline-ms", "soon"}, {"x-shard-key", "70000"}});
+    BOOST_TEST(!it.deadline.has_value());
+    BOOST_TEST(!it.key.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(goes_to_a_server_with_its_own_deadline_and_the_servers_name)
+{
+    auto text = encode_server_request(caller_head(), server_id{"i-1"}, milliseconds{700}, 12);
+    BOOST_TEST(text.starts_with("GET /x/1?q=2 HTTP/1.1\r\n"));
+    BOOST_TEST(text.find("x-request-id: abc\r\n") != std::string::npos);
+    BOOST_TEST(text.find("x-deadline-ms: 700\r\n") != std::string::npos);
+    BOOST_TEST(text.find("1500") == std::string::npos);
+    BOOST_TEST(text.find("x-expect-instance: i-1\r\n") != std::string::npos);
+    BOOST_TEST(text.find("x-expect-instance: me") == std::string::npos);
+    BOOST_TEST(text.find("accept: */*\r\n") != std::string::npos);
+    BOOST_TEST(text.find("connection") == std::string::npos);
+    BOOST_TEST(text.find("content-length: 12\r\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_response_of_a_server)
+
+BOOST_AUTO_TEST_CASE(is_decoded_into_its_fields)
+{
+    http1_head head;
+    head.status = 200;
+    head.headers = {{"x-request-id", "abc"},
+                    {"x-response-seal", "3e1b"},
+                    {"x-server-load", "3, 0,8,250"},
+                    {"x-instance-id", "i-1"},
+                    {"keep-alive", "timeout=10, max=5"}};
+    auto it = decode_server_response(head);
+    BOOST_TEST(it.is_sealed);
+    BOOST_TEST(!it.is_not_run);
+    BOOST_TEST(it.load->running == 3U);
+    BOOST_TEST(it.load->slots == 8U);
+    BOOST_TEST(it.load->slowness_percent == 250U);
+    BOOST_TEST((it.keep_alive == seconds{10}));
+    BOOST_TEST(it.instance->value() == "i-1");
+}
+
+BOOST_AUTO_TEST_CASE(proves_that_a_request_did_not_run)
+{
+    http1_head shed;
+    shed.status = 503;
+    shed.headers = {{"x-not-executed", "1"}};
+    BOOST_TEST(decode_server_response(shed).is_not_run);
+    http1_head failed;
+    failed.status = 503;
+    BOOST_TEST(!decode_server_response(failed).is_not_run);
+    http1_head misdirected;
+    misdirected.status = 421;
+    BOOST_TEST(decode_server_response(misdirected).is_not_run);
+}
+
+BOOST_AUTO_TEST_CASE(may_report_a_load_that_cannot_be_read)
+{
+    for (const auto* text : {"", "1,2", "a,b,c", "1,2,99999999999999999999"}) {
+        http1_head head;
+        head.headers = {{"x-server-load", text}};
+        BOOST_TEST(!decode_server_response(head).load.has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_headers_but_for_those_of_the_connection)
+{
+    http1_head head;
+    head.status = 200;
+    head.length = 5;
+    head.headers = {{"x-response-seal", "3e1b"}, {"connection", "close"}, {"content-length", "9"}};
+    auto text = encode_caller_response(head, body_framing::length, true);
+    BOOST_TEST(text.find("x-response-seal: 3e1b\r\n") != std::string::npos);
+    BOOST_TEST(text.find("content-length: 5\r\n") != std::string::npos);
+    BOOST_TEST(text.find("content-length: 9") == std::string::npos);
+    BOOST_TEST(text.find("close") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(a_refusal_says_when_to_come_back)
+{
+    auto text = encode_own_response(503, "abc", "overload", milliseconds{250}, false, true);
+    BOOST_TEST(text.starts_with("HTTP/1.1 503 Service Unavailable\r\n"));
+    BOOST_TEST(text.find("Retry-After: 0.250\r\n") != std::string::npos);
+    BOOST_TEST(text.find("Connection: close\r\n") != std::string::npos);
+    BOOST_TEST(text.ends_with("{\"Error\":\"overload\"}"));
+}
+
+} // namespace
+} // namespace cornelswitch
