Learn of cold servers without the store

Instances that the store turned away for 24 s saw neither an evacuation nor the heartbeats in which its servers said that they had turned cold, and sent 30 to 39 requests in a second where 27.5 are allowed.

Now an instance that cannot read heartbeats for 2 s asks the servers it uses for their health twice a second and takes the cold time from the answer. A server that could not be reached counts as cold until its next heartbeat, and so do the servers of a zone that returns, whose last heartbeat may be older than the change.

--- a/gateway/backend_directory.cpp
+++ b/gateway/backend_directory.cpp
@@ -47,6 +47,10 @@
     next.entry = entry;
     next.heard_at = now;
     next.cold_until = entry.cold_left > duration::zero() ? now + entry.cold_left : time_point{};
+    auto returned = returned_at_.find(entry.zone);
+    if (returned != returned_at_.end() && now < returned->second + heartbeat_delay) {
+        next.presumed_cold_until = returned->second + presumed_cold_time;
+    }
     bool is_same = known != servers_.end() &&
                    known->second.entry.incarnation == entry.incarnation &&
                    known->second.entry.address == entry.address;
@@ -99,6 +103,20 @@
     ++revision_;
 }
 
+auto backend_directory::set_cold(const server_id& id, duration cold_left, time_point now) -> void
+{
+    auto it = servers_.find(id);
+    if (it == servers_.end()) {
+        return;
+    }
+    bool was_cold = now < it->second.cold_until;
+    it->second.cold_until = cold_left > duration::zero() ? now + cold_left : time_point{};
+    if (was_cold != (cold_left > duration::zero())) {
+        log_.line("server-cold").text("server", id.value()).ms("cold_ms", cold_left);
+        ++revision_;
+    }
+}
+
 auto backend_directory::set_store_available(bool is_available, time_point now) -> void
 {
     if (is_available && !is_store_available_) {
@@ -120,6 +138,12 @@
     }
     for (const auto& it : evacuated_) {
         if (!zones.contains(it)) {
+            returned_at_[it] = now;
+            for (auto& [id, server] : servers_) {
+                if (server.entry.zone == it) {
+                    server.presumed_cold_until = now + presumed_cold_time;
+                }
+            }
             log_.line("zone-returned").text("evacuated_zone", it.value());
         }
     }
@@ -167,7 +191,8 @@
             out_since = out_since ? std::min(*out_since, since) : since;
         }
         bool is_usable = !out_since || (is_keyed && now < *out_since + owned_drain_time);
-        out.push_back({id, it.entry.zone, it.entry.slots, is_usable, it.cold_until,
+        out.push_back({id, it.entry.zone, it.entry.slots, is_usable,
+                       std::max(it.cold_until, it.presumed_cold_until),
                        it.entry.incarnation.value(), it.heard_at});
     }
     return out;
@@ -194,7 +219,8 @@
         if (it->draining_since || it->leaves_at || is_evacuated(it->entry)) {
             continue;
         }
-        (now < it->cold_until ? cold : out).push_back(it);
+        bool is_cold = now < std::max(it->cold_until, it->presumed_cold_until);
+        (is_cold ? cold : out).push_back(it);
     }
     // Cold servers get keys only when nobody else can have them.
     return out.empty() ? cold : out;
--- a/gateway/backend_directory.h
+++ b/gateway/backend_directory.h
@@ -17,6 +17,8 @@
     backend_entry entry;
     time_point heard_at{};
     time_point cold_until{};
+    /// The server may have turned cold without having said so yet.
+    time_point presumed_cold_until{};
     std::optional<time_point> draining_since;
     /// The server's entry is gone, but may come back after an outage of the store.
     std::optional<time_point> leaves_at;
@@ -27,6 +29,11 @@
 public:
     /// Entries that lapse during an outage of the store are back within two seconds of its return.
     static constexpr duration return_grace = std::chrono::milliseconds{2200};
+    /// The servers of a zone that returns are cold until a heartbeat says otherwise, at most for
+    /// this long.
+    static constexpr duration presumed_cold_time = std::chrono::seconds{3};
+    /// A heartbeat that was read sooner after the return may have been written before it.
+    static constexpr duration heartbeat_delay = std::chrono::milliseconds{800};
     /// A keyed server that leaves serves its keys for this long, until they have moved.
     static constexpr duration owned_drain_time = std::chrono::milliseconds{900};
 
@@ -34,6 +41,8 @@
 
     /// Takes the newest record of a server; an empty value removes it.
     auto apply(const std::string& id, const std::string& value, time_point now) -> void;
+    /// A server said in a health check how long it stays cold.
+    auto set_cold(const server_id& id, duration cold_left, time_point now) -> void;
     auto set_store_available(bool is_available, time_point now) -> void;
     /// Takes out all servers of these zones.
     auto set_evacuated(std::set<zone_id> zones, time_point now) -> void;
@@ -64,6 +73,7 @@
     std::set<std::string> reported_malformed_;
     std::set<zone_id> evacuated_;
     std::map<zone_id, time_point> evacuated_since_;
+    std::map<zone_id, time_point> returned_at_;
     bool is_store_available_{true};
     time_point grace_until_{};
     std::uint64_t revision_{0};
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -40,6 +40,12 @@
 constexpr duration active_tick = milliseconds{25};
 constexpr duration idle_tick = milliseconds{100};
 constexpr duration slow_tick_interval = milliseconds{250};
+/// Without a read of the servers' heartbeats for so long, the servers are asked themselves. Two
+/// missed reads are no sign of an outage yet.
+constexpr duration blind_after = milliseconds{2000};
+/// A server that turned cold must not get a second's worth of full load.
+constexpr duration health_interval = milliseconds{500};
+constexpr duration health_timeout = milliseconds{400};
 /// The load balancer needs two failed checks, a second apart, to take an instance out.
 constexpr duration drain_before_close = milliseconds{2600};
 /// Time before SIGKILL that is left for the last bytes.
@@ -625,12 +631,61 @@
             leave_group();
         }
     }
+    check_health(now);
     if (is_shutting_down_) {
         advance_shutdown(now);
     }
     log_.flush();
 }
 
+auto gateway::health_client(const server_id& server) -> unary_client*
+{
+    const auto* known = directory_.find(server);
+    if (known == nullptr) {
+        return nullptr;
+    }
+    auto& it = health_clients_[server];
+    if (!it || it->server() != known->entry.address) {
+        unary_client::options options;
+        options.connect_timeout = health_timeout;
+        it = std::make_unique<unary_client>(loop_, known->entry.address, options);
+    }
+    return it.get();
+}
+
+auto gateway::check_health(time_point now) -> void
+{
+    if (server_topic_->last_read() + blind_after > now || !server_topic_->is_loaded()) {
+        health_clients_.clear();
+        return;
+    }
+    if (now < next_health_check_) {
+        return;
+    }
+    next_health_check_ = now + health_interval;
+    for (auto& [name, it] : runtimes_) {
+        for (const auto& server : it->recently_used(now)) {
+            auto* client = it->health_path().empty() ? nullptr : health_client(server);
+            if (client == nullptr) {
+                continue;
+            }
+            http_request request;
+            request.path = it->health_path();
+            client->call(std::move(request), health_timeout,
+                         [this, server](const result<http_response>& answer) {
+                             auto cold = answer.has_value()
+                                             ? decode_cold_time(answer.value().head.headers)
+                                             : std::nullopt;
+                             if (cold) {
+                                 directory_.set_cold(server, *cold, loop_.now());
+                                 update_servers(loop_.now());
+                             }
+                         });
+        }
+    }
+    metrics_.count("health_checks_total");
+}
+
 auto gateway::reload(const node_settings& next) -> void
 {
     settings_.retry_ratio = next.retry_ratio;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -73,6 +73,9 @@
     auto apply_duties() -> void;
     auto tick() -> void;
     auto slow_tick(time_point now) -> void;
+    /// Asks the servers in use whether they are cold, while the store cannot tell.
+    auto check_health(time_point now) -> void;
+    auto health_client(const server_id& server) -> unary_client*;
     auto advance_shutdown(time_point now) -> void;
     auto update_servers(time_point now) -> void;
     auto runtime(const service_id& service) -> service_runtime*;
@@ -109,6 +112,9 @@
     std::map<admission_source, std::shared_ptr<peer_session>> peers_;
     std::uint32_t last_source_{0};
 
+    std::map<server_id, std::unique_ptr<unary_client>> health_clients_;
+    time_point next_health_check_{};
+
     std::set<std::uint32_t> partitions_;
     std::uint64_t generation_{0};
     time_point membership_until_{};
--- a/gateway/gateway_configuration.h
+++ b/gateway/gateway_configuration.h
@@ -45,6 +45,8 @@
 
 struct gateway_service {
     service_id name;
+    /// Path of health checks.
+    std::string health_path;
     /// Connections a server accepts from all callers combined.
     std::uint32_t max_connections{100};
     /// Time for which a started server is cold.
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -22,6 +22,8 @@
 constexpr duration connect_grace = std::chrono::seconds{3};
 /// A coordinator that reaches less than half of the others for so long gives up the role.
 constexpr duration cut_off_time = milliseconds{700};
+/// A server that got no request for so long needs no health check.
+constexpr duration use_memory = std::chrono::seconds{1};
 constexpr admission_source own_source{0};
 
 auto link_options() -> stream_options
@@ -471,8 +473,21 @@
     }
 }
 
+auto service_runtime::recently_used(time_point now) -> std::vector<server_id>
+{
+    std::erase_if(last_sent_, [&](const auto& it) { return it.second + use_memory < now; });
+    std::vector<server_id> out;
+    for (const auto& [id, at] : last_sent_) {
+        out.push_back(id);
+    }
+    return out;
+}
+
 auto service_runtime::on_decision(const admission_decision& decision) -> void
 {
+    if (decision.outcome == admission_outcome::send) {
+        last_sent_[decision.server] = context_.time.now();
+    }
     if (decision.source == own_source) {
         resolve(decision.id, decision);
         return;
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -73,6 +73,9 @@
     auto complete(admission_id id, const attempt_report& report) -> void;
     auto on_key_not_held(const server_id& server, std::uint16_t key) -> void;
     auto on_server_ended(const server_id& server, std::int64_t incarnation) -> void;
+    /// Servers to which this instance's scheduler sent requests within the last second.
+    auto recently_used(time_point now) -> std::vector<server_id>;
+    auto health_path() const -> const std::string& { return service_.health_path; }
     auto allowance() -> repeat_allowance& { return allowance_; }
 
     /// A message from the instance with number `source`.
@@ -135,6 +138,7 @@
 
     std::unordered_map<std::uint64_t, pending_request> pending_;
     std::unordered_map<std::uint64_t, admitted_request> admitted_;
+    std::map<server_id, time_point> last_sent_;
     std::uint64_t last_id_{0};
 
     std::unique_ptr<peer_link> link_;
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -39,6 +39,8 @@
 constexpr duration shed_time = milliseconds{60};
 /// Shortest time that keys need to move away from a server that may not be used.
 constexpr duration owner_absence = milliseconds{400};
+/// A server that could not be reached is treated as cold until its next heartbeat, at most so long.
+constexpr duration restart_doubt = std::chrono::seconds{6};
 /// Without a new heartbeat, a suspect server is tried again after this time.
 constexpr duration suspect_time = std::chrono::seconds{4};
 /// Share of a cold server's limit that the scheduling instance uses; the rest is left to instances
@@ -145,7 +147,10 @@
     while (!server.cold_sends.empty() && server.cold_sends.front() + cold_window <= now) {
         server.cold_sends.pop_front();
     }
-    if (now >= server.info.cold_until) {
+    bool may_have_restarted = server.unsure_since != time_point{} &&
+                              server.info.heard_at <= server.unsure_since &&
+                              now < server.unsure_since + restart_doubt;
+    if (now >= server.info.cold_until && !may_have_restarted) {
         return true;
     }
     if (settings_.is_authority) {
@@ -160,13 +165,18 @@
                         : last + from_ms(gap_s * 1000.0) <= now && server.cold_sends.empty();
 }
 
+auto admission_scheduler::is_avoided(const server_state& server, time_point now) -> bool
+{
+    return server.is_suspect && now < server.suspect_since + suspect_time;
+}
+
 auto admission_scheduler::may_send(server_state& server, const admission_request& request,
                                    time_point now) -> bool
 {
     if (!server.info.is_usable || now < server.shed_until) {
         return false;
     }
-    if (server.is_suspect && now < server.suspect_since + suspect_time) {
+    if (is_avoided(server, now)) {
         return false;
     }
     auto limit = server.info.slots + (settings_.is_authority ? 0 : independent_overcommit);
@@ -202,7 +212,7 @@
             continue;
         }
         has_local = has_local || (server.info.zone == request.zone && server.info.is_usable &&
-                                  !server.is_suspect);
+                                  !is_avoided(server, now));
         if (!may_send(server, request, now)) {
             continue;
         }
@@ -225,9 +235,7 @@
                                time_point now) -> void
 {
     ++server.in_flight;
-    if (now < server.info.cold_until) {
-        server.cold_sends.push_back(now);
-    }
+    server.cold_sends.push_back(now);
     running_.insert_or_assign({request.source, request.id},
                               running_request{server.info.id, request.work, now, request.expires});
     decide_({request.source, request.id, admission_outcome::send, server.info.id,
@@ -342,7 +350,7 @@
     if (!request.key || !settings_.is_keyed) {
         bool any = std::ranges::any_of(servers_, [&](const auto& it) {
             auto blocked = unreachable_.find({request.source, it.first});
-            return it.second.info.is_usable && !it.second.is_suspect &&
+            return it.second.info.is_usable && !is_avoided(it.second, now) &&
                    (blocked == unreachable_.end() || now >= blocked->second) &&
                    std::ranges::find(request.excluded, it.first) == request.excluded.end();
         });
@@ -470,6 +478,7 @@
         if (others > 0 || !settings_.is_authority) {
             state.is_suspect = true;
             state.suspect_since = now;
+            state.unsure_since = now;
         }
     }
     if (report.outcome == attempt_outcome::answered) {
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -188,6 +188,8 @@
         /// Connections are refused; set until service discovery shows a new heartbeat.
         bool is_suspect{false};
         time_point suspect_since{};
+        /// A connection failed; until the next heartbeat the server may have restarted cold.
+        time_point unsure_since{};
         time_point shed_until{};
         std::deque<time_point> cold_sends;
     };
@@ -198,6 +200,8 @@
         -> duration;
     /// Time that the request will take at its owner, or at an average server.
     auto estimate(const admission_request& request, time_point now) const -> duration;
+    /// Whether a suspect server is not tried yet.
+    static auto is_avoided(const server_state& server, time_point now) -> bool;
     auto may_send(server_state& server, const admission_request& request, time_point now) -> bool;
     auto cold_allows(server_state& server, time_point now) const -> bool;
     auto score(const server_state& server, const admission_request& request, time_point now) const
--- /dev/null
+++ b/tests/gateway/gateway_fixture.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "gateway/gateway.h"
+#include "tests/adapters/loop_fixture.h"
+#include "tests/adapters/raw_connection.h"
+#include "tests/gateway/fake_backend.h"
+#include "tests/gateway/fake_store.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+
+namespace cornelswitch::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline auto free_port() -> std::uint16_t
+{
+    int fd = open_listener({"127.0.0.1", 0}).value();
+    auto port = bound_port(fd);
+    close(fd);
+    return port;
+}
+
+/// First of two neighbouring free ports below those that the system hands out by itself.
+inline auto free_port_pair() -> std::uint16_t
+{
+    static std::uint16_t next = static_cast<std::uint16_t>(12'000 + getpid() % 8000);
+    while (true) {
+        next = static_cast<std::uint16_t>(next + 2);
+        auto first = open_listener({"127.0.0.1", next});
+        auto second = open_listener({"127.0.0.1", static_cast<std::uint16_t>(next + 1)});
+        if (first.has_value()) {
+            close(first.value());
+        }
+        if (second.has_value()) {
+            close(second.value());
+        }
+        if (first.has_value() && second.has_value()) {
+            return next;
+        }
+    }
+}
+
+/// One instance with a fake store and two fake servers of each service.
+struct gateway_fixture : loop_fixture {
+    gateway_fixture()
+        : store{loop}, a{loop, "a"}, b{loop, "b"}, k1{loop, "k1"}, k2{loop, "k2"}, events{
+                                                                                       loop.time(),
+                                                                                       -1, "i1",
+                                                                                       "z1"}
+    {
+        k1.is_keyed = true;
+        k2.is_keyed = true;
+        settings.node = instance_id{"i1"};
+        settings.zone = zone_id{"z1"};
+        settings.callers = {"127.0.0.1", free_port()};
+        settings.readiness = {"127.0.0.1", free_port()};
+        settings.peers = {"127.0.0.1", free_port_pair()};
+        settings.store = store.address();
+        settings.retry_burst = 60;
+        settings.shutdown_grace = seconds{6};
+    }
+
+    static auto configuration(int version, const std::string& extra_routes = "") -> std::string
+    {
+        return R"({"Version":"r)" + std::to_string(version) +
+               R"(","Routes":[{"Name":"read","Host":"h","PathPrefix":"/read/","RouteKind":"idempotent",)"
+               R"("Timeout":"1500ms","TargetLatency":"500ms","Service":"plain","MaxAttempts":2},)"
+               R"({"Name":"write","Host":"h","PathPrefix":"/write/","RouteKind":"non_idempotent",)"
+               R"("Timeout":"1500ms","TargetLatency":"500ms","Service":"plain","MaxAttempts":2},)"
+               R"({"Name":"keyed","Host":"h","PathPrefix":"/keyed/","RouteKind":"idempotent",)"
+               R"("Timeout":"1500ms","TargetLatency":"500ms","Service":"index","MaxAttempts":2})" +
+               extra_routes +
+               R"(],"Services":[{"Name":"plain","MaxConns":100,"Cold":"3s","ColdPerS":4.0},)"
+               R"({"Name":"index","MaxConns":100,"Cold":"3s","ColdPerS":4.0,"Sharded":true}]})";
+    }
+
+    auto start() -> void
+    {
+        store.put("keyed.op", "config", configuration(1));
+        store.put("keyed.servers", "a", a.entry("plain"));
+        store.put("keyed.servers", "b", b.entry("plain"));
+        store.put("keyed.servers", "k1", k1.entry("index"));
+        store.put("keyed.servers", "k2", k2.entry("index"));
+        start_empty();
+        run_until([&] { return ready() && k1.holds(0) && k2.holds(65'535); });
+    }
+
+    auto start_empty() -> void
+    {
+        it = std::make_unique<gateway>(loop, settings, events, boot_id{7});
+        BOOST_REQUIRE(it->start().has_value());
+    }
+
+    auto connect() -> std::unique_ptr<raw_connection>
+    {
+        return std::make_unique<raw_connection>(settings.callers);
+    }
+
+    static auto request(const std::string& path, const std::string& id,
+                        const std::string& more = "") -> std::string
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+               "\r\nX-Deadline-Ms: 2000\r\n" + more + "\r\n";
+    }
+
+    /// Sends one request on a new connection and returns the whole response.
+    auto call(const std::string& bytes) -> std::string
+    {
+        auto connection = connect();
+        connection->send(bytes);
+        run_until([&] {
+            connection->receive();
+            return is_whole(connection->received);
+        });
+        return connection->received;
+    }
+
+    static auto is_whole(const std::string& response) -> bool
+    {
+        auto head = response.find("\r\n\r\n");
+        auto length = response.find("content-length: ");
+        return head != std::string::npos && length != std::string::npos &&
+               response.size() >= head + 4 + std::stoul(response.substr(length + 16));
+    }
+
+    auto ready() -> bool
+    {
+        raw_connection probe{settings.readiness};
+        probe.send("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+        run_until([&] {
+            probe.receive();
+            return is_whole(probe.received);
+        });
+        return probe.received.starts_with("HTTP/1.1 200");
+    }
+
+    static auto status(const std::string& response) -> std::string { return response.substr(9, 3); }
+
+    fake_store store;
+    fake_backend a;
+    fake_backend b;
+    fake_backend k1;
+    fake_backend k2;
+    event_log events;
+    node_settings settings;
+    std::unique_ptr<gateway> it;
+};
+
+} // namespace cornelswitch::test
--- a/tests/routing/admission_scheduler_test.cpp
+++ b/tests/routing/admission_scheduler_test.cpp
@@ -317,6 +317,35 @@
     BOOST_TEST(sent >= 3U);
 }
 
+// Guards against full load on a server that restarted cold while the store could not tell.
+BOOST_AUTO_TEST_CASE(treats_a_server_that_was_unreachable_as_cold_until_its_next_heartbeat)
+{
+    admission_settings settings;
+    settings.is_authority = false;
+    settings.cold_limit = 11;
+    settings.instances = 11;
+    scheduler_world world{settings};
+    world.servers({server("a", 4)});
+    world.submit(world.request(1));
+    world.finish(1, duration::zero(), attempt_outcome::unreachable);
+    world.time.advance(seconds{5});
+    std::size_t sent = 0;
+    for (std::uint64_t n = 2; n <= 20; ++n) {
+        world.submit(world.request(n, milliseconds{100}, milliseconds{150}));
+        if (world.is_sent(n)) {
+            ++sent;
+            world.finish(n, milliseconds{1});
+        }
+        world.time.advance(milliseconds{10});
+    }
+    BOOST_TEST(sent == 1U);
+    auto heard = server("a", 4);
+    heard.heard_at = world.time.now();
+    world.servers({heard});
+    world.submit(world.request(50));
+    BOOST_TEST(world.is_sent(50));
+}
+
 BOOST_AUTO_TEST_CASE(adds_up_over_instances_without_contact)
 {
     constexpr std::uint32_t instances = 11;
