--- a/tests/routing/admission_scheduler_test.cpp
+++ b/tests/routing/admission_scheduler_test.cpp
@@ -339,6 +339,9 @@
         world.time.advance(milliseconds{10});
     }
     BOOST_TEST(sent == 1U);
+    // What waits runs out of time.
+    world.time.advance(milliseconds{300});
+    world.it.tick(world.time.now());
     auto heard = server("a", 4);
     heard.heard_at = world.time.now();
     world.servers({heard});
