--- a/adapters/operator_documents.h
+++ b/adapters/operator_documents.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-/// Documents that an instance serves to operators; docs/operations.md describes the JSON form.
+/// Documents that an instance serves to operators; docs/OPERATIONS.md describes the JSON form.
 /// Ages and remaining times are in milliseconds.
 namespace cornelswitch {
 
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -144,6 +144,7 @@
         return;
     }
     waited_ += decision.waited;
+    decision_ = decision;
     if (decision.outcome == admission_outcome::refuse) {
         admission_.reset();
         if (may_have_run_) {
@@ -508,7 +509,15 @@
             .number("config_version", static_cast<std::int64_t>(configuration_->content.version))
             .number("sends", sends_)
             .ms("queued_ms", waited_)
+            .number("queue", decision_.queue_length)
             .ms("deadline_ms", expires_ - received_);
+        if (decision_.cause != refusal_cause::none) {
+            line.ms("expected_wait_ms", decision_.expected_wait)
+                .ms("retry_after_ms", decision_.retry_after);
+        }
+        if (!decision_.decided_by.value().empty()) {
+            line.text("decided_by", decision_.decided_by.value());
+        }
         services_.metrics.observe("request_ms", route_->name, total);
     }
     if (info_.key && is_keyed_) {
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -120,6 +120,8 @@
     std::shared_ptr<server_attempt> attempt_;
     time_point sent_at_{};
     duration waited_{0};
+    /// The last decision of a scheduler, for the log.
+    admission_decision decision_;
     duration service_time_{0};
 
     http1_head response_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -12,8 +12,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Topics of the system itself.
-constexpr std::string_view own_topic = "keyed.cornelswitch";
+/// Topic and group by which coordinators are chosen, and keys of the instances' own records.
 constexpr std::string_view duty_topic = "cornelswitch-duties";
 constexpr std::string_view duty_group = "cornelswitch-coordinators";
 constexpr std::string_view instance_prefix = "instance/";
@@ -69,7 +68,7 @@
 gateway::gateway(event_loop& loop, node_settings settings, event_log& log, boot_id boot)
     : loop_{loop}, settings_{std::move(settings)}, log_{log}, boot_{boot}, random_{boot.value()},
       store_{loop, settings_.store, store_options()}, directory_{log},
-      ownership_{loop, store_, log, std::string{own_topic}}, pool_{loop, {}},
+      ownership_{loop, store_, log, std::string{own_topic_name()}}, pool_{loop, {}},
       services_{loop_,
                 pool_,
                 directory_,
@@ -200,7 +199,7 @@
         on_own_records(changes, proof);
     };
     own_topic_ = std::make_unique<store_topic>(
-        loop_, store_, log_, topic_options{std::string{own_topic}, own_wait, own_pace},
+        loop_, store_, log_, topic_options{std::string{own_topic_name()}, own_wait, own_pace},
         std::move(for_own));
     ownership_.attach(*own_topic_);
     operator_topic_->start();
--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -75,7 +75,8 @@
     auto operator()(const admission_answer& it) -> void
     {
         fields(it.service.value(), it.id.value(), static_cast<std::uint8_t>(it.outcome),
-               it.server.value(), static_cast<std::uint8_t>(it.cause), to_us(it.retry_after));
+               it.server.value(), static_cast<std::uint8_t>(it.cause), to_us(it.retry_after),
+               it.queue_length, to_us(it.expected_wait));
     }
     auto operator()(const not_coordinator& it) -> void { fields(it.service.value()); }
     auto operator()(const role_superseded& it) -> void
@@ -166,6 +167,8 @@
     out.server = from.id<server_id>();
     out.cause = from.choice<refusal_cause>(static_cast<std::uint8_t>(refusal_cause::expired));
     out.retry_after = from.time();
+    out.queue_length = from.next<std::uint32_t>();
+    out.expected_wait = from.time();
     return out;
 }
 
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -72,6 +72,8 @@
     server_id server;
     refusal_cause cause{refusal_cause::none};
     duration retry_after{0};
+    std::uint32_t queue_length{0};
+    duration expected_wait{0};
 };
 
 /// The receiver is not the coordinator of `service`.
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -461,6 +461,9 @@
         decision.server = answer->server;
         decision.cause = answer->cause;
         decision.retry_after = answer->retry_after;
+        decision.queue_length = answer->queue_length;
+        decision.expected_wait = answer->expected_wait;
+        decision.decided_by = record_ ? record_->coordinator : instance_id{};
         decision.waited = now - it->second.request.received;
         if (answer->outcome == admission_outcome::send) {
             scheduler_.adopt(own_source, answer->id, answer->server, it->second.request.work, now);
@@ -494,7 +497,8 @@
     }
     context_.answer(decision.source,
                     admission_answer{service_.name, decision.id, decision.outcome, decision.server,
-                                     decision.cause, decision.retry_after});
+                                     decision.cause, decision.retry_after, decision.queue_length,
+                                     decision.expected_wait});
 }
 
 auto service_runtime::resolve(admission_id id, const admission_decision& decision) -> void
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -238,8 +238,14 @@
     server.cold_sends.push_back(now);
     running_.insert_or_assign({request.source, request.id},
                               running_request{server.info.id, request.work, now, request.expires});
-    decide_({request.source, request.id, admission_outcome::send, server.info.id,
-             refusal_cause::none, duration::zero(), now - request.received});
+    admission_decision decision;
+    decision.source = request.source;
+    decision.id = request.id;
+    decision.outcome = admission_outcome::send;
+    decision.server = server.info.id;
+    decision.waited = now - request.received;
+    decision.queue_length = static_cast<std::uint32_t>(queue_.size());
+    decide_(decision);
 }
 
 auto admission_scheduler::refuse(const admission_request& request, refusal_cause cause,
@@ -248,13 +254,15 @@
     // Spread, so that the refused do not come back in one wave.
     double ms = std::clamp(to_ms(retry_after), min_retry_after_ms, max_retry_after_ms);
     ms *= 0.75 + 0.5 * uniform_real(random_);
-    decide_({request.source,
-             request.id,
-             admission_outcome::refuse,
-             {},
-             cause,
-             from_ms(ms),
-             now - request.received});
+    admission_decision decision;
+    decision.source = request.source;
+    decision.id = request.id;
+    decision.cause = cause;
+    decision.retry_after = from_ms(ms);
+    decision.waited = now - request.received;
+    decision.queue_length = static_cast<std::uint32_t>(queue_.size());
+    decision.expected_wait = expected_wait(request, now);
+    decide_(decision);
 }
 
 auto admission_scheduler::usable_capacity() const -> double
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -80,6 +80,11 @@
     duration retry_after{0};
     /// Time that the request spent in the queue.
     duration waited{0};
+    /// What decided: requests in the queue, and the wait that was expected.
+    std::uint32_t queue_length{0};
+    duration expected_wait{0};
+    /// Instance that decided; empty when it was this one.
+    instance_id decided_by;
 };
 
 enum class attempt_outcome : std::uint8_t {
