Stress the gateway with instances and servers that come and go

Two instances on one store: the duty changes hands, an instance ends with everything in progress, callers leave, servers break off, repeat and invent answers. Under AddressSanitizer it found that the timers of requests in progress outlive a gateway that is destroyed (only tests destroy one; the program ends with its process).

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -113,6 +113,11 @@
 
 gateway::~gateway()
 {
+    // Requests in progress end here, since their timers refer to this object.
+    auto callers = callers_;
+    for (auto& [raw, it] : callers) {
+        it->close();
+    }
     *alive_ = false;
     loop_.cancel(tick_timer_);
 }
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -36,6 +36,9 @@
         topics_[topic].first = topics_[topic].records.size();
     }
 
+    /// Deals all partitions to the next member that joins, as after the holder's time to live.
+    auto expire_holder() -> void { holder_.clear(); }
+
     bool is_down{false};
     /// Appends take effect, but their answers are lost.
     bool loses_answers{false};
@@ -88,6 +91,8 @@
             append(request);
         } else if (target.starts_with("/-/log-join")) {
             join(request);
+        } else if (target.starts_with("/-/log-leave")) {
+            leave(request);
         } else {
             request.send(fake_http_server::response(200, "", "{}"));
         }
@@ -181,6 +186,15 @@
         answer_held();
     }
 
+    auto leave(const received_request& request) -> void
+    {
+        auto body = nlohmann::json::parse(request.body);
+        if (holder_ == body.at("Member").get<std::string>()) {
+            holder_.clear();
+        }
+        request.send(fake_http_server::response(200, "", "{}"));
+    }
+
     auto join(const received_request& request) -> void
     {
         // The first member holds every partition.
--- a/tests/gateway/gateway_stress_test.cpp
+++ b/tests/gateway/gateway_stress_test.cpp
@@ -134,6 +134,67 @@
     }
 }
 
+// Guards against state that is used after another instance has gone: its link, its admissions, its
+// role.
+BOOST_AUTO_TEST_CASE(keeps_its_promises_while_instances_come_and_go)
+{
+    stress_fixture world{3};
+    world.start();
+    auto second_settings = world.settings;
+    second_settings.node = instance_id{"i2"};
+    second_settings.callers = {"127.0.0.1", free_port()};
+    second_settings.readiness = {"127.0.0.1", free_port()};
+    second_settings.peers = {"127.0.0.1", free_port_pair()};
+    std::uint64_t boot = 100;
+    auto start_second = [&] {
+        auto out =
+            std::make_unique<gateway>(world.loop, second_settings, world.events, boot_id{++boot});
+        BOOST_REQUIRE(out->start().has_value());
+        return out;
+    };
+    auto second = start_second();
+    for (int round = 0; round < 240; ++round) {
+        world.send_some();
+        if (second) {
+            // Callers use both instances.
+            std::swap(world.settings.callers, second_settings.callers);
+            world.send_some();
+            std::swap(world.settings.callers, second_settings.callers);
+        }
+        world.run_for(milliseconds{8});
+        for (auto& it : world.connections) {
+            it->receive();
+            if (uniform_below(world.random, 10) == 0) {
+                it.reset();
+            }
+        }
+        std::erase_if(world.connections, [](const auto& it) { return it == nullptr; });
+        if (round % 60 == 20) {
+            world.store.expire_holder();
+        }
+        if (round % 60 == 40 && second) {
+            // Its process ends with everything in progress.
+            second.reset();
+        }
+        if (round % 60 == 59 && !second) {
+            second = start_second();
+        }
+    }
+    std::map<std::string, int> runs;
+    for (const auto* server : {&world.a, &world.b}) {
+        for (const auto& id : server->runs) {
+            ++runs[id];
+        }
+    }
+    for (const auto& id : world.writes) {
+        BOOST_TEST(runs[id] <= 1);
+    }
+    second.reset();
+    world.it.reset();
+    world.connections.clear();
+    world.run_for(milliseconds{20});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
