Let one coordinator read the store for all instances

The coordinator of the first service passes on what it reads of the heartbeats (without those that change nothing but their number), of the operators' records and of the system's own. An instance reads itself after 0.9, 1.45 or 2.5 s without news, inside the bounds of draining and configuration. Memberships are renewed every 0.8 s instead of 0.5 s.

Ruled out: longer held reads (a silent connection is seen too late).

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -25,6 +25,11 @@
 /// silent connection only by its end, and a configuration must be in force within two seconds.
 constexpr duration operator_wait = milliseconds{1200};
 constexpr duration operator_answer_timeout = milliseconds{700};
+/// Without news from a coordinator for so long, an instance reads itself. The reads of a
+/// coordinator start every 0.6 s (servers) or end after 1.2 s (operators, own records).
+constexpr duration server_patience = milliseconds{900};
+constexpr duration operator_patience = milliseconds{1450};
+constexpr duration own_patience = milliseconds{2500};
 constexpr duration own_wait = seconds{15};
 /// A doubted coordinator makes an instance read the records at most this often.
 constexpr duration refresh_interval = milliseconds{900};
@@ -32,8 +37,10 @@
 /// A coordinator needs proof of its role within `unconfirmed_moves`.
 constexpr duration coordinator_wait = milliseconds{1000};
 constexpr duration coordinator_pace = milliseconds{200};
-constexpr duration membership_ttl = milliseconds{1500};
-constexpr duration join_interval = milliseconds{500};
+/// A lost coordinator is replaced before its key leases lapse: time to live, one interval, and one
+/// renewal interval stay below the lease.
+constexpr duration membership_ttl = milliseconds{2000};
+constexpr duration join_interval = milliseconds{800};
 /// A coordinator that reached too few of the others stays out of the group for this long.
 constexpr duration resign_time = seconds{6};
 constexpr duration active_tick = milliseconds{25};
@@ -100,6 +107,7 @@
                    }
                },
                [this] { apply_role(); },
+               [this](const topic_news& news) { on_news(news); },
                [this] { return instances(); },
                [this] {
                    std::set<instance_id> nodes{settings_.node};
@@ -185,6 +193,9 @@
     for_operator.on_read = [this](const auto& changes, time_point) {
         on_operator_records(changes);
     };
+    for_operator.on_news = [this](const auto& changes, log_offset from, log_offset end) {
+        share_news(shared_topic::operators, changes, from, end);
+    };
     operator_topic_ = std::make_unique<store_topic>(
         loop_, store_, log_,
         topic_options{std::string{operator_topic_name()}, operator_wait, milliseconds{100},
@@ -195,6 +206,9 @@
     for_servers.on_availability = [this](bool is_available) {
         directory_.set_store_available(is_available, loop_.now());
     };
+    for_servers.on_news = [this](const auto& changes, log_offset from, log_offset end) {
+        share_news(shared_topic::servers, changes, from, end);
+    };
     server_topic_ = std::make_unique<store_topic>(
         loop_, store_, log_,
         topic_options{std::string{server_topic_name()}, duration::zero(), server_pace},
@@ -203,6 +217,9 @@
     for_own.on_read = [this](const auto& changes, time_point proof) {
         on_own_records(changes, proof);
     };
+    for_own.on_news = [this](const auto& changes, log_offset from, log_offset end) {
+        share_news(shared_topic::own, changes, from, end);
+    };
     own_topic_ = std::make_unique<store_topic>(
         loop_, store_, log_, topic_options{std::string{own_topic_name()}, own_wait, own_pace},
         std::move(for_own));
@@ -341,6 +358,55 @@
     }
 }
 
+auto gateway::share_news(shared_topic topic, const std::vector<store_topic::change>& changes,
+                         log_offset from, log_offset end) -> void
+{
+    // One coordinator reads for all, or each topic would arrive several times.
+    if (runtimes_.empty() || !runtimes_.begin()->second->is_coordinator() || peers_.empty()) {
+        shared_entries_.clear();
+        return;
+    }
+    topic_news news{topic, from, end, duration::zero(), {}};
+    for (const auto& it : changes) {
+        if (topic == shared_topic::servers) {
+            auto& last = shared_entries_[it.key];
+            // Most heartbeats change nothing but their number.
+            if (!it.value.empty() && is_same_but_sequence(last, it.value)) {
+                continue;
+            }
+            last = it.value;
+        }
+        news.records.emplace_back(it.key, it.value);
+    }
+    auto read_at = topic == shared_topic::servers     ? server_topic_->read_started()
+                   : topic == shared_topic::operators ? operator_topic_->read_started()
+                                                      : own_topic_->read_started();
+    news.age = loop_.now() - read_at;
+    for (auto& [source, it] : peers_) {
+        if (!it->node.value().empty()) {
+            it->link->send(news);
+        }
+    }
+}
+
+auto gateway::on_news(const topic_news& news) -> void
+{
+    switch (news.topic) {
+    case shared_topic::servers:
+        server_topic_->accept(news.from, news.end, news.records, news.age, server_patience);
+        return;
+    case shared_topic::operators:
+        operator_topic_->accept(news.from, news.end, news.records, news.age, operator_patience);
+        return;
+    case shared_topic::own:
+        // A coordinator needs proof of its role from the store itself.
+        if (!is_coordinator_) {
+            own_topic_->accept(news.from, news.end, news.records, news.age, own_patience);
+        }
+        return;
+    }
+}
+
 auto gateway::announce() -> void
 {
     is_announced_ = true;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -67,6 +67,10 @@
     auto on_own_records(const std::vector<store_topic::change>& changes, time_point proof) -> void;
     auto apply_configuration(const std::string& value) -> void;
     auto apply_role() -> void;
+    /// Passes on what this instance read, if it is the one that reads for all.
+    auto share_news(shared_topic topic, const std::vector<store_topic::change>& changes,
+                    log_offset from, log_offset end) -> void;
+    auto on_news(const topic_news& news) -> void;
     auto announce() -> void;
     auto join_group() -> void;
     auto leave_group() -> void;
@@ -99,6 +103,8 @@
     runtime_context context_;
     std::shared_ptr<const active_configuration> configuration_;
     std::unordered_map<std::string, split_state> splits_;
+    /// Entries of servers as they were passed on last.
+    std::unordered_map<std::string, std::string> shared_entries_;
     std::map<service_id, std::unique_ptr<service_runtime>> runtimes_;
     std::unique_ptr<store_topic> operator_topic_;
     std::unique_ptr<store_topic> server_topic_;
--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t length_bytes = 4;
-constexpr std::size_t max_message_bytes = 64 * 1024;
+constexpr std::size_t max_message_bytes = 4 * 1024 * 1024;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -84,6 +84,11 @@
         fields(it.service.value(), it.term.value());
     }
     auto operator()(const role_stopped& it) -> void { fields(it.service.value(), it.term.value()); }
+    auto operator()(const topic_news& it) -> void
+    {
+        fields(static_cast<std::uint8_t>(it.topic), it.from.value(), it.end.value(), to_us(it.age),
+               it.records);
+    }
     auto operator()(const peer_ping&) -> void { fields(); }
     auto operator()(const peer_pong&) -> void { fields(); }
 };
@@ -172,6 +177,17 @@
     return out;
 }
 
+auto read_news(reader& from) -> topic_news
+{
+    topic_news out;
+    out.topic = from.choice<shared_topic>(static_cast<std::uint8_t>(shared_topic::own));
+    out.from = from.id<log_offset>();
+    out.end = from.id<log_offset>();
+    out.age = from.time();
+    out.records = from.next<std::vector<std::pair<std::string, std::string>>>();
+    return out;
+}
+
 auto read_message(const msgpack::object& object) -> peer_message
 {
     if (object.type != msgpack::type::ARRAY) {
@@ -224,6 +240,8 @@
         return peer_ping{};
     case 12:
         return peer_pong{};
+    case 13:
+        return read_news(from);
     default:
         throw msgpack::type_error{};
     }
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -93,13 +94,27 @@
     lease_term term;
 };
 
+/// Topics whose records one instance reads for others.
+enum class shared_topic : std::uint8_t { servers, operators, own };
+
+/// Records of a topic that the sender has read, and how old that is.
+struct topic_news {
+    shared_topic topic{shared_topic::servers};
+    log_offset from;
+    log_offset end;
+    /// Age of the read when the message was sent.
+    duration age{0};
+    /// Newest value of each key that changed; an empty value removes it.
+    std::vector<std::pair<std::string, std::string>> records;
+};
+
 struct peer_ping {};
 struct peer_pong {};
 
 using peer_message =
     std::variant<peer_hello, admission_query, admission_adopted, admission_withdrawn,
                  admission_completed, key_not_held, server_ended, admission_answer, not_coordinator,
-                 role_superseded, role_stopped, peer_ping, peer_pong>;
+                 role_superseded, role_stopped, peer_ping, peer_pong, topic_news>;
 
 /// Appends the message with its length to `out`.
 auto encode_peer_message(std::string& out, const peer_message& message) -> void;
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -471,6 +471,10 @@
         resolve(answer->id, decision);
         return;
     }
+    if (const auto* news = std::get_if<topic_news>(&message)) {
+        context_.on_news(*news);
+        return;
+    }
     if (std::holds_alternative<not_coordinator>(message)) {
         drop_link("not the coordinator");
     }
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -35,6 +35,8 @@
     std::function<void()> refresh;
     /// This instance has become a coordinator, or is none any more.
     std::function<void()> on_role_change;
+    /// A coordinator passed on what it read of a topic.
+    std::function<void(const topic_news&)> on_news;
     /// Instances that are known, this one included.
     std::function<std::uint32_t()> instances;
     /// Instances that are connected to this one, itself included.
--- a/gateway/store_topic.cpp
+++ b/gateway/store_topic.cpp
@@ -135,7 +135,11 @@
                         return;
                     }
                     next_ = page.value().end;
-                    on_success(apply(page.value().records), read_started_);
+                    auto changes = apply(page.value().records);
+                    if (hooks_.on_news) {
+                        hooks_.on_news(changes, from, next_);
+                    }
+                    on_success(changes, read_started_);
                 });
 }
 
@@ -181,21 +185,53 @@
     schedule(failure_pause_);
 }
 
+auto store_topic::report_available() -> void
+{
+    if (is_available_) {
+        return;
+    }
+    is_available_ = true;
+    has_reported_ = true;
+    log_.line("store-regained")
+        .text("topic", options_.topic)
+        .number("offset", static_cast<std::int64_t>(next_.value()));
+    if (hooks_.on_availability) {
+        hooks_.on_availability(true);
+    }
+}
+
+auto store_topic::accept(log_offset from, log_offset end,
+                         const std::vector<std::pair<std::string, std::string>>& records,
+                         duration age, duration patience) -> bool
+{
+    if (!is_loaded_ || from > next_ || end < next_) {
+        return false;
+    }
+    std::vector<keyed_record> page;
+    for (const auto& [key, value] : records) {
+        page.push_back({key, value, end});
+    }
+    // An answer to a read in progress may be older.
+    is_reading_ = false;
+    ++read_number_;
+    next_ = end;
+    last_read_ = loop_.now() - age;
+    failure_pause_ = duration::zero();
+    report_available();
+    schedule(patience);
+    auto changes = apply(page);
+    if (hooks_.on_read) {
+        hooks_.on_read(changes, last_read_);
+    }
+    return true;
+}
+
 auto store_topic::on_success(const std::vector<change>& changes, time_point proof) -> void
 {
     is_reading_ = false;
     last_read_ = proof;
     failure_pause_ = duration::zero();
-    if (!is_available_) {
-        is_available_ = true;
-        has_reported_ = true;
-        log_.line("store-regained")
-            .text("topic", options_.topic)
-            .number("offset", static_cast<std::int64_t>(next_.value()));
-        if (hooks_.on_availability) {
-            hooks_.on_availability(true);
-        }
-    }
+    report_available();
     auto pause = std::max(duration::zero(), read_started_ + options_.pace - loop_.now());
     schedule(pause);
     if (hooks_.on_read) {
--- a/gateway/store_topic.h
+++ b/gateway/store_topic.h
@@ -38,6 +38,8 @@
         /// Called with what changed, perhaps nothing, after each answered read. `proof` is a time
         /// at which the copy was the newest.
         std::function<void(const std::vector<change>&, time_point proof)> on_read;
+        /// Called after a read of its own with the offsets that it covered.
+        std::function<void(const std::vector<change>&, log_offset from, log_offset end)> on_news;
         /// Called when the topic can be read again, or not any more.
         std::function<void(bool is_available)> on_availability;
     };
@@ -51,6 +53,12 @@
     auto start() -> void;
     /// Reads at once, without waiting for a record. A read in progress is given up.
     auto hurry() -> void;
+    /// Takes records that another instance read. Returns false, and takes nothing, when the copy
+    /// lacks earlier ones or is newer. The next read of its own follows after `patience` without
+    /// news.
+    auto accept(log_offset from, log_offset end,
+                const std::vector<std::pair<std::string, std::string>>& records, duration age,
+                duration patience) -> bool;
     auto set_wait(duration wait) -> void { options_.wait = wait; }
     auto set_pace(duration pace) -> void { options_.pace = pace; }
     /// Offset after the last record of the copy.
@@ -58,6 +66,8 @@
     auto is_available() const -> bool { return is_available_; }
     auto is_loaded() const -> bool { return is_loaded_; }
     auto records() const -> const std::map<std::string, std::string>& { return records_; }
+    /// Start of the read in progress, or of the last one.
+    auto read_started() const -> time_point { return read_started_; }
     /// Start of the last read that was answered.
     auto last_read() const -> time_point { return last_read_; }
 
@@ -68,6 +78,7 @@
     auto on_failure(const error& cause) -> void;
     auto on_success(const std::vector<change>& changes, time_point proof) -> void;
     auto apply(const std::vector<keyed_record>& records) -> std::vector<change>;
+    auto report_available() -> void;
     auto schedule(duration delay) -> void;
 
     event_loop& loop_;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -346,6 +346,78 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(beside_a_coordinator)
+
+struct two_gateways : gateway_fixture {
+    two_gateways()
+    {
+        start();
+        second_settings = settings;
+        second_settings.node = instance_id{"i2"};
+        second_settings.callers = {"127.0.0.1", free_port()};
+        second_settings.readiness = {"127.0.0.1", free_port()};
+        second_settings.peers = {"127.0.0.1", free_port_pair()};
+        second = std::make_unique<gateway>(loop, second_settings, events, boot_id{8});
+        BOOST_REQUIRE(second->start().has_value());
+        run_for(seconds{2});
+    }
+
+    auto call_second(const std::string& bytes) -> std::string
+    {
+        std::swap(settings.callers, second_settings.callers);
+        auto out = call(bytes);
+        std::swap(settings.callers, second_settings.callers);
+        return out;
+    }
+
+    node_settings second_settings;
+    std::unique_ptr<gateway> second;
+};
+
+// Guards against a store call of each instance for each heartbeat.
+BOOST_FIXTURE_TEST_CASE(leaves_reading_the_store_to_it, two_gateways)
+{
+    auto before = store.calls;
+    run_for(seconds{3});
+    auto both = store.calls - before;
+    second.reset();
+    run_for(seconds{1});
+    before = store.calls;
+    run_for(seconds{3});
+    auto alone = store.calls - before;
+    // What is left to the second one is its membership, four calls.
+    BOOST_TEST(both <= alone + 6);
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_changes_through_it, two_gateways)
+{
+    BOOST_TEST(status(call_second(request("/keyed/1", "r1", "X-Shard-Key: 5\r\n"))) == "200");
+    auto added = R"(,{"Name":"new","Host":"h","PathPrefix":"/new/","RouteKind":"idempotent",)"
+                 R"("Service":"plain","MaxAttempts":2})";
+    store.put("keyed.op", "config", configuration(5, added));
+    store.put("keyed.servers", "a", a.entry("plain", "draining", 2));
+    run_for(milliseconds{900});
+    a.runs.clear();
+    for (int n = 0; n < 4; ++n) {
+        BOOST_TEST(status(call_second(request("/new/1", "n" + std::to_string(n)))) == "200");
+    }
+    BOOST_TEST(a.runs.empty());
+}
+
+// Guards against a configuration that stays unknown when the one that reads for all is gone.
+BOOST_FIXTURE_TEST_CASE(reads_itself_when_it_is_gone, two_gateways)
+{
+    it.reset();
+    store.expire_holder();
+    auto added = R"(,{"Name":"new","Host":"h","PathPrefix":"/new/","RouteKind":"idempotent",)"
+                 R"("Service":"plain","MaxAttempts":2})";
+    store.put("keyed.op", "config", configuration(5, added));
+    run_for(milliseconds{1900});
+    BOOST_TEST(status(call_second(request("/new/1", "r1"))) == "200");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(that_shuts_down)
 
 BOOST_AUTO_TEST_CASE(finishes_what_it_has_read_and_announces_the_end)
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -33,9 +33,14 @@
     encode_peer_message(bytes, answer);
     encode_peer_message(bytes, role_stopped{service_id{"s"}, lease_term{3}});
     encode_peer_message(bytes, peer_ping{});
+    encode_peer_message(bytes, topic_news{shared_topic::operators,
+                                          log_offset{3},
+                                          log_offset{5},
+                                          milliseconds{7},
+                                          {{"k", "v"}, {"gone", ""}}});
     auto read = decode_peer_messages(bytes);
     BOOST_REQUIRE(read.has_value());
-    BOOST_REQUIRE(read.value().size() == 5U);
+    BOOST_REQUIRE(read.value().size() == 6U);
     BOOST_TEST(std::get<peer_hello>(read.value()[0]).zone.value() == "z1");
     const auto& back = std::get<admission_query>(read.value()[1]);
     BOOST_TEST(*back.key == 41'210);
@@ -46,6 +51,9 @@
     BOOST_TEST(refused.queue_length == 14U);
     BOOST_TEST(std::get<role_stopped>(read.value()[3]).term.value() == 3U);
     BOOST_TEST(std::holds_alternative<peer_ping>(read.value()[4]));
+    const auto& news = std::get<topic_news>(read.value()[5]);
+    BOOST_TEST(news.end.value() == 5U);
+    BOOST_TEST(news.records.at(1).first == "gone");
     BOOST_TEST(bytes.empty());
 }
 
--- a/tests/platform/discovery_codec_test.cpp
+++ b/tests/platform/discovery_codec_test.cpp
@@ -45,6 +45,14 @@
     BOOST_TEST(it.incarnation.value() == 1'700'000'000'000);
 }
 
+BOOST_AUTO_TEST_CASE(is_news_when_more_than_its_number_changes)
+{
+    auto next = replaced(good_entry, "\"Seq\":4", "\"Seq\":15");
+    BOOST_TEST(is_same_but_sequence(good_entry, next));
+    BOOST_TEST(!is_same_but_sequence(good_entry, replaced(next, "150ms", "0ms")));
+    BOOST_TEST(!is_same_but_sequence("", good_entry));
+}
+
 BOOST_AUTO_TEST_CASE(names_no_server_when_a_field_is_missing)
 {
     for (const auto* field : {"\"Addr\"", "\"Service\"", "\"Zone\"", "\"Slots\"", "\"State\"",
