Let the fake store end a held read

The fake ignored the wait of a held read, so the coordinator's read timed out and the test leaves_reading_the_store_to_it counted 18 calls against 17. The check is as it was.

--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -18,7 +19,8 @@
 class fake_store {
 public:
     explicit fake_store(event_loop& loop)
-        : server_{loop, [this](received_request request) { handle(std::move(request)); }}
+        : loop_{loop}, server_{loop,
+                               [this](received_request request) { handle(std::move(request)); }}
     {
     }
 
@@ -54,6 +56,7 @@
         std::string topic;
         std::size_t from{0};
         received_request request;
+        std::uint64_t number{0};
     };
 
     static auto query(const std::string& target, const std::string& name) -> std::string
@@ -108,9 +111,12 @@
                 410, "", R"({"FirstOffset":)" + std::to_string(state.first) + "}"));
             return;
         }
-        bool may_wait = !query(request.head.target, "WaitMs").empty();
-        if (from >= state.records.size() && may_wait) {
-            held_.push_back({topic, from, std::move(request)});
+        auto wait = query(request.head.target, "WaitMs");
+        if (from >= state.records.size() && !wait.empty()) {
+            auto number = ++last_held_;
+            held_.push_back({topic, from, std::move(request), number});
+            loop_.schedule(std::chrono::milliseconds{std::stoul(wait)},
+                           [this, number] { end_wait(number); });
             return;
         }
         answer_read(topic, from, request);
@@ -130,6 +136,15 @@
         request.send(fake_http_server::response(200, "", body));
     }
 
+    auto end_wait(std::uint64_t number) -> void
+    {
+        auto it = std::ranges::find(held_, number, &held_read::number);
+        if (it != held_.end()) {
+            answer_read(it->topic, it->from, it->request);
+            held_.erase(it);
+        }
+    }
+
     auto answer_held() -> void
     {
         auto held = std::move(held_);
@@ -211,7 +226,9 @@
         request.send(fake_http_server::response(200, "", out.dump()));
     }
 
+    event_loop& loop_;
     fake_http_server server_;
+    std::uint64_t last_held_{0};
     std::map<std::string, topic_state> topics_;
     std::vector<held_read> held_;
     std::string holder_;
