Choose coordinators among large machines, and announce instances without a condition

Cause: on the grown sites a coordinator ran on a machine with 0.1 core, and 5,670 requests took more than half of their objective to reach a server; all instances announced themselves at once with conditional appends to one partition, each conflict costing an append and a read. An instance now announces its processor share without a condition, and those with less than three quarters of the largest join the group only when a service has had no coordinator for 4 s. Kept connections are used for up to 8.5 s (servers state 10 s).

--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -21,7 +21,7 @@
 /// A kept connection that was idle for longer may be closed by the server while a request is on
 /// its way, which leaves the outcome unknown.
 constexpr duration max_idle_non_idempotent = std::chrono::seconds{3};
-constexpr duration max_idle_idempotent = std::chrono::seconds{6};
+constexpr duration max_idle_idempotent = milliseconds{8500};
 /// Times that a request is admitted again when its server could not be reached.
 constexpr std::uint32_t max_admissions = 4;
 /// Return time that is stated when nothing better is known.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "platform/store_names.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace cornelswitch {
 
@@ -41,6 +42,11 @@
 /// renewal interval stay below the lease.
 constexpr duration membership_ttl = milliseconds{2000};
 constexpr duration join_interval = milliseconds{800};
+/// Machines with less than this share of the largest processor become coordinators only when a
+/// service has had none for `vacancy_time`: a coordinator handles the admissions of all instances.
+constexpr double eligible_share = 0.75;
+constexpr duration vacancy_time = seconds{4};
+constexpr duration announce_time = milliseconds{700};
 /// A coordinator that reached too few of the others stays out of the group for this long.
 constexpr duration resign_time = seconds{6};
 constexpr duration active_tick = milliseconds{25};
@@ -134,6 +140,7 @@
 {
     BOOST_OUTCOME_TRY(open_listeners());
     make_topics();
+    started_at_ = loop_.now();
     log_.line("start")
         .text("callers", settings_.callers.to_text())
         .text("peers", settings_.peers.to_text())
@@ -411,17 +418,19 @@
 {
     is_announced_ = true;
     auto key = std::string{instance_prefix} + settings_.node.value();
-    if (own_topic_->records().contains(key)) {
+    auto value = std::to_string(settings_.cpu_share);
+    auto known = own_topic_->records().find(key);
+    if (known != own_topic_->records().end() && known->second == value) {
         return;
     }
-    ownership_.write(
-        key,
-        [this, key]() -> std::optional<std::string> {
-            // An append without an answer may have taken effect.
-            return own_topic_->records().contains(key) ? std::nullopt
-                                                       : std::optional{settings_.zone.value()};
-        },
-        [] {});
+    // Each instance has a key of its own, so the append needs no condition.
+    store_.call(store_codec::append_request(own_topic_name(), std::nullopt, key, value),
+                milliseconds{1000}, [this, alive = alive_](const result<http_response>& answer) {
+                    if (*alive && (answer.has_error() || answer.value().head.status != 200)) {
+                        // Repeated after the next read, which shows whether it took effect.
+                        is_announced_ = false;
+                    }
+                });
 }
 
 auto gateway::instances() const -> std::uint32_t
@@ -441,12 +450,43 @@
     return it == runtimes_.end() ? nullptr : it->second.get();
 }
 
+auto gateway::is_eligible(time_point now) -> bool
+{
+    // The others need a moment to say how large they are.
+    bool is_first_start = instances() <= 1;
+    if (!own_topic_->is_loaded() || (is_first_start && now < started_at_ + announce_time)) {
+        return false;
+    }
+    double largest = settings_.cpu_share;
+    for (const auto& [key, value] : own_topic_->records()) {
+        if (key.starts_with(instance_prefix)) {
+            largest = std::max(largest, std::strtod(value.c_str(), nullptr));
+        }
+    }
+    if (settings_.cpu_share >= eligible_share * largest) {
+        return true;
+    }
+    // The large machines may all be gone.
+    bool has_all =
+        std::ranges::all_of(runtimes_, [](const auto& it) { return it.second->has_coordinator(); });
+    if (has_all || vacant_since_ == time_point{}) {
+        vacant_since_ = has_all ? time_point{} : now;
+    }
+    return vacant_since_ != time_point{} && now >= vacant_since_ + vacancy_time;
+}
+
 auto gateway::join_group() -> void
 {
     auto now = loop_.now();
     if (is_joining_ || now < next_join_ || now < no_join_before_ || is_shutting_down_) {
         return;
     }
+    if (!is_eligible(now)) {
+        if (!partitions_.empty()) {
+            leave_group();
+        }
+        return;
+    }
     is_joining_ = true;
     next_join_ = now + join_interval;
     auto ttl = std::max<duration>(membership_ttl, settings_.min_membership_ttl);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -72,6 +72,8 @@
                     log_offset from, log_offset end) -> void;
     auto on_news(const topic_news& news) -> void;
     auto announce() -> void;
+    /// Whether this machine is large enough to be a coordinator, or nobody else is one.
+    auto is_eligible(time_point now) -> bool;
     auto join_group() -> void;
     auto leave_group() -> void;
     auto apply_duties() -> void;
@@ -125,6 +127,8 @@
     std::uint64_t generation_{0};
     time_point membership_until_{};
     time_point no_join_before_{};
+    time_point vacant_since_{};
+    time_point started_at_{};
     bool is_joining_{false};
     bool is_announced_{false};
     bool is_coordinator_{false};
--- a/gateway/server_pool.cpp
+++ b/gateway/server_pool.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t max_header_bytes = 64 * 1024;
 /// A server may close an idle connection before the time that it states; this share is safe.
-constexpr double keep_alive_share = 0.6;
+constexpr double keep_alive_share = 0.85;
 
 } // namespace
 
--- a/gateway/server_pool.h
+++ b/gateway/server_pool.h
@@ -62,7 +62,7 @@
         /// Nothing has been sent before a connection is open, so a failure here is harmless.
         duration connect_timeout{std::chrono::milliseconds{300}};
         /// Kept connections are closed when unused for this long.
-        duration max_idle{std::chrono::seconds{6}};
+        duration max_idle{std::chrono::milliseconds{8500}};
         /// Sent bytes that stay unacknowledged for so long show a silent connection.
         stream_options stream{std::chrono::milliseconds{900}, std::chrono::seconds{2}};
     };
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -66,6 +66,8 @@
     /// Whether something waits for the next tick.
     auto is_active() const -> bool;
     auto is_coordinator() const -> bool { return is_coordinator_; }
+    /// Whether this instance is the coordinator or is connected to it.
+    auto has_coordinator() const -> bool { return is_coordinator_ || has_link(); }
     /// Whether this instance should leave the role to one that reaches more.
     auto should_resign(time_point now) -> bool;
 
