--- a/daemon/status_builder.h
+++ b/daemon/status_builder.h
@@ -4,7 +4,7 @@
 #include "config/configuration.h"
 #include "daemon/messages.h"
 #include "ownership/cell_agent.h"
-#include "platform/instance_list.h"
+#include "ownership/instance_list.h"
 
 #include <map>
 #include <string_view>
--- a/daemon/view_builder.h
+++ b/daemon/view_builder.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "config/configuration.h"
+#include "ownership/instance_list.h"
 #include "ownership/ownership_state.h"
-#include "platform/instance_list.h"
 #include "routing/routing_view.h"
 
 #include <map>
--- a/gateway/exchange.cpp
+++ b/gateway/exchange.cpp
@@ -390,16 +390,8 @@
     }
 }
 
-auto exchange::on_timeout() -> void
+auto exchange::stop_attempt() -> bool
 {
-    auto self = shared_from_this();
-    if (phase_ == phase::done) {
-        return;
-    }
-    if (phase_ == phase::responding && is_committed_) {
-        // The rest of the response is on its way; it is delivered, also late.
-        return;
-    }
     bool was_sent = phase_ == phase::sending || phase_ == phase::responding;
     if (attempt_) {
         attempt_->cancel();
@@ -412,7 +404,20 @@
     } else if (admission_) {
         services_.admissions.withdraw(service_, *std::exchange(admission_, std::nullopt));
     }
-    if (was_sent || may_have_run_) {
+    return was_sent;
+}
+
+auto exchange::on_timeout() -> void
+{
+    auto self = shared_from_this();
+    if (phase_ == phase::done) {
+        return;
+    }
+    if (phase_ == phase::responding && is_committed_) {
+        // The rest of the response is on its way; it is delivered, also late.
+        return;
+    }
+    if (stop_attempt() || may_have_run_) {
         respond(504, "timeout", std::nullopt);
     } else {
         refuse("timeout", default_retry_after);
@@ -425,18 +430,7 @@
     if (phase_ == phase::done) {
         return;
     }
-    bool was_sent = phase_ == phase::sending || phase_ == phase::responding;
-    if (attempt_) {
-        attempt_->cancel();
-        attempt_.reset();
-    }
-    if (was_sent) {
-        service_time_ = duration::zero();
-        response_info_ = {};
-        report(attempt_outcome::canceled);
-    } else if (admission_) {
-        services_.admissions.withdraw(service_, *std::exchange(admission_, std::nullopt));
-    }
+    stop_attempt();
     output_ = {};
     finish(0, "caller-left", "");
 }
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -82,6 +82,8 @@
     auto on_failure(attempt_outcome outcome, bool was_stale, std::string_view cause) -> void;
     auto on_not_run() -> void;
     auto on_timeout() -> void;
+    /// Ends the attempt in progress or the wait for one. Returns whether a request was sent.
+    auto stop_attempt() -> bool;
     /// Sends the request again after a failure, or answers it.
     auto retry_or(int status, std::string_view reason, bool has_run) -> void;
     auto commit_response() -> void;
--- a/gateway/store_topic.cpp
+++ b/gateway/store_topic.cpp
@@ -208,6 +208,7 @@
         return false;
     }
     std::vector<keyed_record> page;
+    page.reserve(records.size());
     for (const auto& [key, value] : records) {
         page.push_back({key, value, end});
     }
--- a/gateway/unary_client.cpp
+++ b/gateway/unary_client.cpp
@@ -169,6 +169,7 @@
                           bool keeps_connection) -> void
 {
     // Held, because the list may drop the last reference.
+    // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
     auto self = it;
     loop_.cancel(self->timer);
     self->is_busy = false;
--- a/ownership/range_authority.cpp
+++ b/ownership/range_authority.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Weight of one answer in the share of renewals that fail.
-constexpr double answer_weight = 0.08;
 /// Neighbouring ranges of one owner are merged when there are more ranges than this for a server.
 constexpr std::size_t ranges_per_server = 6;
 /// A server's clock may run 2% slow, so its lease lasts longer by this divisor.
@@ -386,7 +384,6 @@
     }
     auto now = time_.now();
     it->call = 0;
-    failed_share_ += answer_weight * ((outcome.has_value() ? 0.0 : 1.0) - failed_share_);
     if (outcome.has_value()) {
         it->next_action = it->call_started + settings_.renewal;
         it->is_adopted = false;
@@ -681,9 +678,4 @@
     return out;
 }
 
-auto range_authority::unanswered_share() const -> double
-{
-    return failed_share_;
-}
-
 } // namespace cornelswitch
--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -145,10 +145,6 @@
     {
         return next_token_.value() + token_reserve < token_limit_.value();
     }
-    auto extend_tokens(fencing_token limit) -> void { token_limit_ = limit; }
-    auto next_token() const -> fencing_token { return next_token_; }
-    /// Share of renewals to reachable servers that failed lately, 0 to 1.
-    auto unanswered_share() const -> double;
 
 private:
     /// Tokens that a step may take before the limit is checked again.
@@ -184,7 +180,6 @@
     std::uint64_t last_call_{0};
     std::uint64_t revision_{0};
     std::uint64_t recorded_revision_{0};
-    double failed_share_{0};
     bool stopped_{false};
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
