Rename two types that had the names of others

The gateway's ownership_record had the name of the log's record type, and its exchange that of the HTTP adapters' exchange, all in one namespace: the linker merged their inline functions. They are coordinator_record and caller_exchange now.

Before: test_ownership under UBSan ended with an error.

--- a/gateway/caller_connection.cpp
+++ b/gateway/caller_connection.cpp
@@ -108,11 +108,12 @@
     advance();
 }
 
-auto caller_connection::make_output(std::weak_ptr<caller_connection> weak) -> exchange::output
+auto caller_connection::make_output(std::weak_ptr<caller_connection> weak)
+    -> caller_exchange::output
 {
     // The exchange is known only after it was made, so it is passed through a shared slot.
-    auto slot = std::make_shared<const exchange*>(nullptr);
-    exchange::output out;
+    auto slot = std::make_shared<const caller_exchange*>(nullptr);
+    caller_exchange::output out;
     out.write = [weak, slot](std::string bytes) {
         if (auto self = weak.lock()) {
             self->write(*slot, std::move(bytes));
@@ -141,7 +142,8 @@
     bool is_too_large =
         head.framing == body_framing::length && head.length > limits_.max_body_bytes;
     bool keeps = head.keeps_alive;
-    auto it = std::make_shared<exchange>(services_, std::move(head), make_output(weak_from_this()));
+    auto it = std::make_shared<caller_exchange>(services_, std::move(head),
+                                                make_output(weak_from_this()));
     *last_slot_ = it.get();
     reading_ = it;
     exchanges_.push_back({it, {}, false, true});
@@ -183,13 +185,14 @@
     }
     http1_head none;
     none.method = "GET";
-    auto it = std::make_shared<exchange>(services_, std::move(none), make_output(weak_from_this()));
+    auto it = std::make_shared<caller_exchange>(services_, std::move(none),
+                                                make_output(weak_from_this()));
     *last_slot_ = it.get();
     exchanges_.push_back({it, {}, false, true});
     it->reject(status, reason);
 }
 
-auto caller_connection::find(const exchange* it) -> pending*
+auto caller_connection::find(const caller_exchange* it) -> pending*
 {
     for (auto& entry : exchanges_) {
         if (entry.it.get() == it) {
@@ -199,7 +202,7 @@
     return nullptr;
 }
 
-auto caller_connection::write(const exchange* from, std::string bytes) -> void
+auto caller_connection::write(const caller_exchange* from, std::string bytes) -> void
 {
     auto* entry = find(from);
     if (entry == nullptr || is_closed_) {
@@ -219,7 +222,7 @@
     }
 }
 
-auto caller_connection::on_finished(const exchange* from, bool keeps_connection) -> void
+auto caller_connection::on_finished(const caller_exchange* from, bool keeps_connection) -> void
 {
     auto* entry = find(from);
     if (entry == nullptr) {
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/exchange.h"
+#include "gateway/caller_exchange.h"
 
 #include <deque>
 #include <functional>
@@ -32,7 +32,7 @@
 
 private:
     struct pending {
-        std::shared_ptr<exchange> it;
+        std::shared_ptr<caller_exchange> it;
         std::string output;
         bool is_finished{false};
         bool keeps_connection{true};
@@ -43,12 +43,12 @@
     auto on_head(http1_head head) -> void;
     auto on_request_end() -> void;
     auto on_stream_end() -> void;
-    auto write(const exchange* from, std::string bytes) -> void;
-    auto on_finished(const exchange* from, bool keeps_connection) -> void;
+    auto write(const caller_exchange* from, std::string bytes) -> void;
+    auto on_finished(const caller_exchange* from, bool keeps_connection) -> void;
     auto advance() -> void;
     auto reject(int status, std::string_view reason) -> void;
-    auto find(const exchange* it) -> pending*;
-    auto make_output(std::weak_ptr<caller_connection> weak) -> exchange::output;
+    auto find(const caller_exchange* it) -> pending*;
+    auto make_output(std::weak_ptr<caller_connection> weak) -> caller_exchange::output;
 
     exchange_services& services_;
     std::unique_ptr<tcp_stream> stream_;
@@ -57,7 +57,7 @@
     std::unique_ptr<http1_parser> parser_;
     std::string input_;
     std::deque<pending> exchanges_;
-    std::shared_ptr<exchange> reading_;
+    std::shared_ptr<caller_exchange> reading_;
     bool is_rejected_{false};
     bool is_parsing_{false};
     bool is_closed_{false};
@@ -70,7 +70,7 @@
     /// Pending responses are still delivered after `close`.
     bool is_graceful_{false};
     /// Where the exchange that was made last finds itself.
-    std::shared_ptr<const exchange*> last_slot_;
+    std::shared_ptr<const caller_exchange*> last_slot_;
     time_point last_activity_;
     time_point message_started_{};
 };
--- a/gateway/exchange.cpp
+++ b/gateway/caller_exchange.cpp
@@ -1,4 +1,4 @@
-#include "gateway/exchange.h"
+#include "gateway/caller_exchange.h"
 
 #include <algorithm>
 #include <array>
@@ -46,7 +46,7 @@
 
 } // namespace
 
-exchange::exchange(exchange_services& services, http1_head head, output to)
+caller_exchange::caller_exchange(exchange_services& services, http1_head head, output to)
     : services_{services}, output_{std::move(to)}, head_{std::move(head)},
       info_{decode_caller_request(head_.headers)}, received_{services.loop.now()},
       keeps_connection_{head_.keeps_alive}
@@ -55,18 +55,18 @@
     objective_ = received_;
 }
 
-auto exchange::time_left() const -> duration
+auto caller_exchange::time_left() const -> duration
 {
     return expires_ - services_.loop.now();
 }
 
-auto exchange::reject(int status, std::string_view reason) -> void
+auto caller_exchange::reject(int status, std::string_view reason) -> void
 {
     keeps_connection_ = false;
     respond(status, reason, std::nullopt);
 }
 
-auto exchange::route() -> bool
+auto caller_exchange::route() -> bool
 {
     configuration_ = services_.configuration();
     if (!configuration_) {
@@ -92,7 +92,7 @@
     return true;
 }
 
-auto exchange::run() -> void
+auto caller_exchange::run() -> void
 {
     if (phase_ == phase::done) {
         return;
@@ -110,7 +110,7 @@
     request_admission();
 }
 
-auto exchange::request_admission() -> void
+auto caller_exchange::request_admission() -> void
 {
     phase_ = phase::waiting;
     ++admissions_;
@@ -125,7 +125,7 @@
     request.objective = objective_;
     request.expires = expires_;
     request.excluded = excluded_;
-    std::weak_ptr<exchange> weak = weak_from_this();
+    std::weak_ptr<caller_exchange> weak = weak_from_this();
     // The decision may come before the id is known.
     auto id = services_.admissions.request(service_, std::move(request),
                                            [weak](const admission_decision& decision) {
@@ -138,7 +138,7 @@
     }
 }
 
-auto exchange::on_decision(const admission_decision& decision) -> void
+auto caller_exchange::on_decision(const admission_decision& decision) -> void
 {
     if (phase_ != phase::waiting) {
         return;
@@ -158,7 +158,7 @@
     send(decision.server);
 }
 
-auto exchange::send(const server_id& server) -> void
+auto caller_exchange::send(const server_id& server) -> void
 {
     server_ = server;
     const auto* known = services_.directory.find(server);
@@ -182,7 +182,7 @@
     request.bytes = encode_server_request(head_, server, time_left(), length);
     request.bytes.append(body_);
     sent_at_ = services_.loop.now();
-    std::weak_ptr<exchange> weak = weak_from_this();
+    std::weak_ptr<caller_exchange> weak = weak_from_this();
     attempt_handlers handlers;
     handlers.on_head = [weak](http1_head head, const server_response_info& info) {
         if (auto self = weak.lock()) {
@@ -212,7 +212,7 @@
     attempt_ = services_.pool.send(std::move(request), std::move(handlers));
 }
 
-auto exchange::report(attempt_outcome outcome) -> void
+auto caller_exchange::report(attempt_outcome outcome) -> void
 {
     if (!admission_) {
         return;
@@ -229,7 +229,7 @@
     services_.admissions.complete(service_, id, out);
 }
 
-auto exchange::on_head(http1_head head, const server_response_info& info) -> void
+auto caller_exchange::on_head(http1_head head, const server_response_info& info) -> void
 {
     service_time_ = services_.loop.now() - sent_at_;
     response_ = std::move(head);
@@ -252,7 +252,7 @@
     }
 }
 
-auto exchange::commit_response() -> void
+auto caller_exchange::commit_response() -> void
 {
     if (is_committed_) {
         return;
@@ -268,7 +268,7 @@
     }
 }
 
-auto exchange::on_body(std::string_view bytes) -> void
+auto caller_exchange::on_body(std::string_view bytes) -> void
 {
     if (is_discarding_ || phase_ != phase::responding) {
         return;
@@ -283,7 +283,7 @@
     }
 }
 
-auto exchange::on_end() -> void
+auto caller_exchange::on_end() -> void
 {
     if (is_discarding_) {
         on_not_run();
@@ -316,7 +316,7 @@
     finish(response_.status, "answered", "");
 }
 
-auto exchange::on_not_run() -> void
+auto caller_exchange::on_not_run() -> void
 {
     bool is_misdirected = response_.status == 421;
     if (is_misdirected) {
@@ -339,7 +339,8 @@
     retry_or(503, is_misdirected ? "misdirected" : "server-full", false);
 }
 
-auto exchange::on_failure(attempt_outcome outcome, bool was_stale, std::string_view cause) -> void
+auto caller_exchange::on_failure(attempt_outcome outcome, bool was_stale, std::string_view cause)
+    -> void
 {
     attempt_.reset();
     if (phase_ == phase::done) {
@@ -371,7 +372,7 @@
     retry_or(502, has_run ? "server-failed" : "server-unreachable", has_run);
 }
 
-auto exchange::retry_or(int status, std::string_view reason, bool has_run) -> void
+auto caller_exchange::retry_or(int status, std::string_view reason, bool has_run) -> void
 {
     phase_ = phase::waiting;
     bool is_allowed = (!has_run || may_repeat()) && sends_ < route_->max_attempts &&
@@ -390,7 +391,7 @@
     }
 }
 
-auto exchange::stop_attempt() -> bool
+auto caller_exchange::stop_attempt() -> bool
 {
     bool was_sent = phase_ == phase::sending || phase_ == phase::responding;
     if (attempt_) {
@@ -407,7 +408,7 @@
     return was_sent;
 }
 
-auto exchange::on_timeout() -> void
+auto caller_exchange::on_timeout() -> void
 {
     auto self = shared_from_this();
     if (phase_ == phase::done) {
@@ -424,7 +425,7 @@
     }
 }
 
-auto exchange::cancel() -> void
+auto caller_exchange::cancel() -> void
 {
     auto self = shared_from_this();
     if (phase_ == phase::done) {
@@ -435,7 +436,7 @@
     finish(0, "caller-left", "");
 }
 
-auto exchange::close_after() -> bool
+auto caller_exchange::close_after() -> bool
 {
     if (is_committed_ || phase_ == phase::done) {
         return false;
@@ -444,21 +445,21 @@
     return true;
 }
 
-auto exchange::set_writable(bool is_writable) -> void
+auto caller_exchange::set_writable(bool is_writable) -> void
 {
     if (attempt_ && phase_ == phase::responding) {
         attempt_->set_reading(is_writable);
     }
 }
 
-auto exchange::refuse(std::string_view reason, duration retry_after) -> void
+auto caller_exchange::refuse(std::string_view reason, duration retry_after) -> void
 {
     services_.metrics.count("refusals_total");
     respond(503, reason, retry_after);
 }
 
-auto exchange::respond(int status, std::string_view reason, std::optional<duration> retry_after)
-    -> void
+auto caller_exchange::respond(int status, std::string_view reason,
+                              std::optional<duration> retry_after) -> void
 {
     if (phase_ == phase::done) {
         return;
@@ -470,7 +471,7 @@
     finish(status, retry_after ? "refused" : "failed", reason);
 }
 
-auto exchange::abort_response(std::string_view cause) -> void
+auto caller_exchange::abort_response(std::string_view cause) -> void
 {
     auto abort = output_.abort;
     output_ = {};
@@ -480,7 +481,7 @@
     }
 }
 
-auto exchange::finish(int status, std::string_view outcome, std::string_view cause) -> void
+auto caller_exchange::finish(int status, std::string_view outcome, std::string_view cause) -> void
 {
     auto self = shared_from_this();
     phase_ = phase::done;
--- a/gateway/exchange.h
+++ b/gateway/caller_exchange.h
@@ -39,7 +39,7 @@
 /// A request is sent to a server only after the scheduler admitted it. It is sent again only when
 /// it is proven not to have run, or when it is idempotent, within the common allowance. Its final
 /// answer comes at the latest when its time is up.
-class exchange : public std::enable_shared_from_this<exchange> {
+class caller_exchange : public std::enable_shared_from_this<caller_exchange> {
 public:
     /// Where the response goes.
     struct output {
@@ -51,7 +51,7 @@
         std::function<void()> abort;
     };
 
-    exchange(exchange_services& services, http1_head head, output to);
+    caller_exchange(exchange_services& services, http1_head head, output to);
 
     /// Response for a request that violates a limit or the protocol.
     auto reject(int status, std::string_view reason) -> void;
--- a/gateway/gateway_store.cpp
+++ b/gateway/gateway_store.cpp
@@ -150,7 +150,7 @@
         it = std::make_unique<service_runtime>(context_, service);
         auto record = own_topic_->records().find(it->key());
         if (record != own_topic_->records().end()) {
-            auto decoded_record = decode_ownership_record(record->second);
+            auto decoded_record = decode_coordinator_record(record->second);
             if (decoded_record.has_value()) {
                 it->on_record(decoded_record.value(), own_topic_->last_read());
             }
@@ -180,7 +180,7 @@
         }
         auto name = service_id{it.key.substr(service_prefix.size())};
         auto* service = runtime(name);
-        auto record = decode_ownership_record(it.value);
+        auto record = decode_coordinator_record(it.value);
         if (record.has_error()) {
             log_.line("ownership-malformed")
                 .text("key", it.key)
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -89,7 +89,7 @@
     }
 }
 
-auto service_runtime::on_record(const std::optional<ownership_record>& record, time_point proof)
+auto service_runtime::on_record(const std::optional<coordinator_record>& record, time_point proof)
     -> void
 {
     bool is_mine =
@@ -143,7 +143,7 @@
                 return std::nullopt;
             }
             predecessor_ = record_;
-            ownership_record next;
+            coordinator_record next;
             next.coordinator = context_.settings.node;
             next.boot = context_.boot;
             next.address = context_.settings.peers;
@@ -156,7 +156,7 @@
                 next.ranges = record_->ranges;
             }
             written_ = next;
-            return encode_ownership_record(next);
+            return encode_coordinator_record(next);
         },
         [this, alive = alive_] {
             if (*alive && written_) {
@@ -166,7 +166,7 @@
         });
 }
 
-auto service_runtime::become_coordinator(const ownership_record& mine) -> void
+auto service_runtime::become_coordinator(const coordinator_record& mine) -> void
 {
     is_taking_over_ = false;
     if (is_coordinator_) {
@@ -224,7 +224,8 @@
         .text("cause", cause);
 }
 
-auto service_runtime::ask_predecessor(const ownership_record& predecessor, lease_term term) -> void
+auto service_runtime::ask_predecessor(const coordinator_record& predecessor, lease_term term)
+    -> void
 {
     tcp_stream::connect(
         context_.loop, predecessor.address, link_options(), link_connect_timeout,
@@ -285,7 +286,7 @@
             next.is_sole = ranges_->authority().is_sole(context_.time.now());
             next.revision = ++write_revision_;
             written_ = next;
-            return encode_ownership_record(next);
+            return encode_coordinator_record(next);
         },
         [this, alive = alive_] {
             if (*alive && is_coordinator_ && written_ && ranges_) {
@@ -380,7 +381,7 @@
                         });
 }
 
-auto service_runtime::on_link(std::unique_ptr<tcp_stream> stream, const ownership_record& to)
+auto service_runtime::on_link(std::unique_ptr<tcp_stream> stream, const coordinator_record& to)
     -> void
 {
     link_ = std::make_unique<peer_link>(context_.loop, std::move(stream));
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -58,7 +58,7 @@
     /// Whether the store deals the coordinator's duty to this instance.
     auto set_duty(bool is_mine) -> void { has_duty_ = is_mine; }
     /// The newest record of the service, read at a time not before `proof`.
-    auto on_record(const std::optional<ownership_record>& record, time_point proof) -> void;
+    auto on_record(const std::optional<coordinator_record>& record, time_point proof) -> void;
     /// The newest record had not changed at `proof`.
     auto on_proof(time_point proof) -> void;
     auto update_servers(time_point now) -> void;
@@ -104,15 +104,15 @@
     auto resolve(admission_id id, const admission_decision& decision) -> void;
     auto find_owner(std::uint16_t key) const -> key_owner;
     auto take_over() -> void;
-    auto become_coordinator(const ownership_record& mine) -> void;
+    auto become_coordinator(const coordinator_record& mine) -> void;
     auto step_down(std::string_view cause) -> void;
     auto record_ranges(time_point now) -> void;
     auto connect() -> void;
-    auto on_link(std::unique_ptr<tcp_stream> stream, const ownership_record& to) -> void;
+    auto on_link(std::unique_ptr<tcp_stream> stream, const coordinator_record& to) -> void;
     auto on_link_message(const peer_message& message) -> void;
     auto drop_link(std::string_view cause) -> void;
     auto check_link(time_point now) -> void;
-    auto ask_predecessor(const ownership_record& predecessor, lease_term term) -> void;
+    auto ask_predecessor(const coordinator_record& predecessor, lease_term term) -> void;
     auto has_link() const -> bool
     {
         return link_ != nullptr && link_->is_open() && is_link_usable_;
@@ -123,20 +123,20 @@
     admission_scheduler scheduler_;
     repeat_allowance allowance_;
     std::unique_ptr<range_coordinator> ranges_;
-    std::optional<ownership_record> record_;
+    std::optional<coordinator_record> record_;
     /// Owners of the recorded ranges by first key, for the time without contact.
     std::map<std::uint16_t, recorded_range> recorded_;
     bool is_coordinator_{false};
     bool has_duty_{false};
     bool is_taking_over_{false};
-    std::optional<ownership_record> predecessor_;
+    std::optional<coordinator_record> predecessor_;
     time_point coordinator_since_{};
     time_point cut_off_since_{};
     std::uint64_t recorded_revision_{0};
     time_point next_record_{};
     std::uint64_t write_revision_{0};
     /// Record of the last write, until it is known whether it was stored.
-    std::optional<ownership_record> written_;
+    std::optional<coordinator_record> written_;
     /// Revision of the ranges in it.
     std::uint64_t written_ranges_{0};
 
--- a/ownership/ownership_record.cpp
+++ b/ownership/coordinator_record.cpp
@@ -1,10 +1,10 @@
-#include "ownership/ownership_record.h"
+#include "ownership/coordinator_record.h"
 
 #include <nlohmann/json.hpp>
 
 namespace cornelswitch {
 
-auto encode_ownership_record(const ownership_record& it) -> std::string
+auto encode_coordinator_record(const coordinator_record& it) -> std::string
 {
     auto ranges = nlohmann::json::array();
     for (const auto& range : it.ranges) {
@@ -23,12 +23,12 @@
     return out.dump();
 }
 
-auto decode_ownership_record(std::string_view text) -> result<ownership_record>
+auto decode_coordinator_record(std::string_view text) -> result<coordinator_record>
 {
     error malformed{error_code::invalid_message, "decode-ownership", {}, "malformed record"};
     try {
         auto from = nlohmann::json::parse(text.begin(), text.end());
-        ownership_record out;
+        coordinator_record out;
         out.coordinator = instance_id{from.at("coordinator").get<std::string>()};
         out.boot = boot_id{from.at("boot").get<std::uint64_t>()};
         out.address = {from.at("address").get<std::string>(), from.at("port").get<std::uint16_t>()};
--- a/ownership/ownership_record.h
+++ b/ownership/coordinator_record.h
@@ -30,7 +30,7 @@
 ///
 /// The ranges are a hint that lags behind. Safety rests on the servers' fencing tokens and on the
 /// waits of `range_authority`.
-struct ownership_record {
+struct coordinator_record {
     instance_id coordinator;
     boot_id boot;
     /// Address of the coordinator for other instances.
@@ -44,12 +44,12 @@
     bool is_sole{false};
     std::vector<recorded_range> ranges;
 
-    friend auto operator==(const ownership_record&, const ownership_record&) -> bool = default;
+    friend auto operator==(const coordinator_record&, const coordinator_record&) -> bool = default;
 };
 
 /// Writes the record as JSON.
-auto encode_ownership_record(const ownership_record& it) -> std::string;
+auto encode_coordinator_record(const coordinator_record& it) -> std::string;
 /// Errors: `invalid_message`.
-auto decode_ownership_record(std::string_view text) -> result<ownership_record>;
+auto decode_coordinator_record(std::string_view text) -> result<coordinator_record>;
 
 } // namespace cornelswitch
--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
-#include "ownership/ownership_record.h"
+#include "ownership/coordinator_record.h"
 
 #include <cstdint>
 #include <functional>
--- a/tests/ownership/range_authority_test.cpp
+++ b/tests/ownership/range_authority_test.cpp
@@ -385,7 +385,7 @@
 
 BOOST_AUTO_TEST_CASE(records_survive_their_encoding)
 {
-    ownership_record it;
+    coordinator_record it;
     it.coordinator = instance_id{"i1"};
     it.boot = boot_id{7};
     it.address = {"127.0.0.1", 7200};
@@ -393,9 +393,9 @@
     it.token_limit = fencing_token{99};
     it.is_sole = true;
     it.ranges = {{{0, 99}, server_id{"a"}, 5, fencing_token{12}}};
-    BOOST_TEST((decode_ownership_record(encode_ownership_record(it)).value() == it));
-    BOOST_TEST(decode_ownership_record("{}").has_error());
-    BOOST_TEST(decode_ownership_record("not json").has_error());
+    BOOST_TEST((decode_coordinator_record(encode_coordinator_record(it)).value() == it));
+    BOOST_TEST(decode_coordinator_record("{}").has_error());
+    BOOST_TEST(decode_coordinator_record("not json").has_error());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
