--- a/tests/routing/range_planner_test.cpp
+++ b/tests/routing/range_planner_test.cpp
@@ -94,8 +94,10 @@
 BOOST_AUTO_TEST_CASE(divides_all_keys_among_the_first_servers)
 {
     key_heat heat{time_constant};
+    constexpr int count = 21;
     std::vector<planned_server> servers;
-    for (int n = 0; n < 21; ++n) {
+    servers.reserve(count);
+    for (int n = 0; n < count; ++n) {
         servers.push_back({server_id{"s" + std::to_string(n)}, 10, 0, 2});
     }
     auto moves = range_planner{}.plan(servers, {{{0, 65'535}, std::nullopt, false}}, heat,
