Keep a lease that was renewed when the predecessor takes it for lapsed

A coordinator that had been paused for 4.2 s took its leases for lapsed when it ran again, and told its successor that these ranges were free. The successor had sent renewals for them whose answers were lost; it gave the keys to another server, and a renewal was applied seconds later.

Ruled out: calls of the paused coordinator itself (it had stopped at 11.285 s, the late grant was applied at 13.493 s and bore the recorded token that the successor repeats).

Change: a range counts as free by the predecessor's word only if no renewal was sent for it.

Test: does_not_believe_that_a_range_is_free_once_it_tried_to_renew_its_lease fails on the code before (two holders) and passes after.

--- a/ownership/range_authority_succession.cpp
+++ b/ownership/range_authority_succession.cpp
@@ -138,9 +138,11 @@
     -> void
 {
     bool is_free = from.owner.value().empty();
-    bool is_recorded_owner = it.is_adopted && it.owner == from.owner;
-    // A renewal in flight to another server than the one told of may yet take effect.
-    bool may_accept = (it.is_adopted && (it.call == 0 || is_recorded_owner)) || it.is_unclear;
+    // Once a renewal was sent, the lease may run on whatever the predecessor believes; it may have
+    // been paused and taken the lease for lapsed.
+    bool was_tried = it.call_started != time_point{};
+    bool is_recorded_owner = !is_free && it.owner == from.owner;
+    bool may_accept = it.is_unclear || (it.is_adopted && (!was_tried || is_recorded_owner));
     if (!may_accept) {
         return;
     }
--- a/tests/ownership/range_authority_test.cpp
+++ b/tests/ownership/range_authority_test.cpp
@@ -85,6 +85,9 @@
                 return;
             }
             auto outcome = servers.at(server).grant(keys, token, lease);
+            if (loses_answers) {
+                outcome = error{error_code::timeout, "grant", {}, "no answer"};
+            }
             pending.push_back([done, outcome] { done(outcome); });
         };
         calls.release = [this](const server_id& server, key_range keys, fencing_token token,
@@ -147,6 +150,8 @@
     std::set<fencing_token> tokens;
     std::vector<std::function<void()>> pending;
     bool is_recording{true};
+    /// Grants take effect, and their answers are lost.
+    bool loses_answers{false};
     std::int64_t most_holders{0};
     int grants{0};
 };
@@ -420,6 +425,37 @@
     BOOST_TEST(world.most_holders == 1);
 }
 
+// Guards against a predecessor that was paused: it takes a lease for lapsed that the successor
+// renewed, and a renewal without an answer may still take effect.
+BOOST_AUTO_TEST_CASE(does_not_believe_that_a_range_is_free_once_it_tried_to_renew_its_lease)
+{
+    lease_world world;
+    auto first = world.make_authority();
+    world.start(*first);
+    auto recorded = first->recorded();
+    first->stop();
+    world.time.advance(milliseconds{3500});
+
+    auto next = world.make_authority();
+    next->take_over(recorded, fencing_token{1000}, fencing_token{2000}, world.time.now(),
+                    world.time.now());
+    next->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    world.loses_answers = true;
+    world.run(*next, milliseconds{300});
+    BOOST_TEST(world.servers.at(server_id{"a"}).holds(5000));
+    world.loses_answers = false;
+    world.cut_off.insert(server_id{"a"});
+    next->set_predecessor_end(world.time.now());
+    next->accept_transfer({{{0, 65'535}, server_id{}, 1, {}, milliseconds{-100}}},
+                          world.time.now());
+    for (int n = 0; n < 20; ++n) {
+        next->move({0, 65'535}, server_id{"b"}, world.time.now());
+        world.run(*next, milliseconds{100});
+    }
+    BOOST_TEST(owner_of(*next, 5000, world) != "b");
+    BOOST_TEST(world.most_holders == 1);
+}
+
 // Guards against a late answer that undoes what the successor did meanwhile.
 BOOST_AUTO_TEST_CASE(keeps_to_its_own_grants_when_its_predecessor_tells_late)
 {
