Check a drained entry's response at the caller, after the entry is gone

The entry reports when its connection has handed the response to the kernel; the caller, on the same loop, may read it one round later.

Change: the test destroys the entry after the report, as the end of the process would, and then asks for the whole response. A response that was only in the entry's own buffers would be lost there, so the check is no weaker.

--- a/tests/daemon/request_path_test.cpp
+++ b/tests/daemon/request_path_test.cpp
@@ -200,6 +200,9 @@
     BOOST_TEST(drained() == 0);
     runs[0]->respond({}, "late");
     run_until([&] { return drained() == 2; });
+    // The process may end now; what it wrote must reach the caller all the same.
+    entry.reset();
+    run_until([&] { return record->end.has_value(); });
     BOOST_TEST(record->body == "late");
 }
 
