Find a lease call and a restarted owner without a walk over all ranges

Cause: a coordinator of a grown site runs about 2,000 ranges. Each answer of a server was looked up by a walk over all of them, and each list of servers compared every server with every range (300 x 2,000).

Change: calls in flight are kept by number with the first key of their range, and restarts are found in one walk with a lookup of the owner. No behaviour changes.

Tests: range_authority_test as before.

--- a/ownership/range_authority.cpp
+++ b/ownership/range_authority.cpp
@@ -79,34 +79,31 @@
         next.emplace(it.id, it.incarnation);
     }
     servers_ = std::move(next);
-    for (const auto& [id, incarnation] : servers_) {
-        on_restart(id, incarnation, now);
+    for (auto& [first, it] : ranges_) {
+        bool is_holder = it.phase == range_phase::held || it.phase == range_phase::granting;
+        auto known = is_holder ? servers_.find(it.owner) : servers_.end();
+        if (known != servers_.end() && known->second != it.incarnation) {
+            on_restart(it, known->second, now);
+        }
     }
 }
 
-auto range_authority::on_restart(const server_id& server, std::int64_t incarnation, time_point now)
-    -> void
+auto range_authority::on_restart(range& it, std::int64_t incarnation, time_point now) -> void
 {
-    for (auto& [first, it] : ranges_) {
-        bool is_holder = it.phase == range_phase::held || it.phase == range_phase::granting;
-        if (!is_holder || it.owner != server || it.incarnation == incarnation) {
-            continue;
-        }
-        if (it.is_adopted || now < it.unsure_until) {
-            // A predecessor may have moved the range, so nobody knows who holds it.
-            auto last_arrival = it.call != 0 ? now + settings_.call_timeout : it.last_grant;
-            it.last_grant = std::max(it.last_grant, last_arrival);
-            lose_owner(it, now, "owner-restarted");
-            continue;
-        }
-        // The new process may have taken a grant that was sent before its start was known, so the
-        // keys stay with it; a higher token tells its lease from the old process's.
-        it.incarnation = incarnation;
-        it.confirmed_grant = {};
-        it.needs_token = true;
-        it.next_action = now;
-        set_phase(it, range_phase::granting, "owner-restarted");
+    if (it.is_adopted || now < it.unsure_until) {
+        // A predecessor may have moved the range, so nobody knows who holds it.
+        auto last_arrival = it.call != 0 ? now + settings_.call_timeout : it.last_grant;
+        it.last_grant = std::max(it.last_grant, last_arrival);
+        lose_owner(it, now, "owner-restarted");
+        return;
     }
+    // The new process may have taken a grant that was sent before its start was known, so the
+    // keys stay with it; a higher token tells its lease from the old process's.
+    it.incarnation = incarnation;
+    it.confirmed_grant = {};
+    it.needs_token = true;
+    it.next_action = now;
+    set_phase(it, range_phase::granting, "owner-restarted");
 }
 
 auto range_authority::on_server_ended(const server_id& server, std::int64_t incarnation,
@@ -232,14 +229,20 @@
     }
 }
 
+auto range_authority::add_call(range& it, time_point now) -> std::uint64_t
+{
+    it.call = ++last_call_;
+    it.call_started = now;
+    calls_in_flight_[it.call] = it.keys.first;
+    return it.call;
+}
+
 auto range_authority::find_call(std::uint64_t call) -> range*
 {
-    for (auto& [first, it] : ranges_) {
-        if (it.call == call) {
-            return &it;
-        }
-    }
-    return nullptr;
+    // A range keeps its first key while it has a call in flight.
+    auto node = calls_in_flight_.extract(call);
+    auto it = node.empty() ? ranges_.end() : ranges_.find(node.mapped());
+    return it != ranges_.end() && it->second.call == call ? &it->second : nullptr;
 }
 
 auto range_authority::start_grant(range& it, time_point now) -> void
@@ -252,12 +255,10 @@
         it.needs_token = false;
         ++revision_;
     }
-    it.call = ++last_call_;
-    it.call_started = now;
+    auto call = add_call(it, now);
     it.is_granted = true;
     it.earlier_grant = it.last_grant;
     it.last_grant = std::max(it.last_grant, now);
-    auto call = it.call;
     calls_.grant(it.owner, it.keys, it.token, settings_.lease, it.handover,
                  [this, call, alive = alive_](result<void> outcome) {
                      if (*alive) {
@@ -318,9 +319,7 @@
 
 auto range_authority::start_release(range& it, time_point now) -> void
 {
-    it.call = ++last_call_;
-    it.call_started = now;
-    auto call = it.call;
+    auto call = add_call(it, now);
     calls_.release(it.previous, it.keys, it.release_token,
                    [this, call, alive = alive_](result<std::string> outcome) {
                        if (*alive) {
@@ -377,6 +376,7 @@
 {
     if (it.call != 0 && now >= it.call_started + settings_.lost_call) {
         // The connection was replaced with the call on it.
+        calls_in_flight_.erase(it.call);
         it.call = 0;
         it.last_grant = std::max(it.last_grant, now);
     }
--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace cornelswitch {
@@ -181,7 +182,8 @@
     auto split(std::uint16_t first) -> void;
     auto merge(time_point now) -> void;
     auto set_phase(range& it, range_phase phase, std::string_view event) -> void;
-    auto on_restart(const server_id& server, std::int64_t incarnation, time_point now) -> void;
+    auto on_restart(range& it, std::int64_t incarnation, time_point now) -> void;
+    auto add_call(range& it, time_point now) -> std::uint64_t;
     auto start_grant(range& it, time_point now) -> void;
     auto start_release(range& it, time_point now) -> void;
     auto finish_grant(std::uint64_t call, const result<void>& outcome) -> void;
@@ -203,6 +205,8 @@
     time_point predecessor_moves_end_{};
     time_point confirmed_at_{};
     std::uint64_t last_call_{0};
+    /// First key of the range of each call whose outcome is not known yet.
+    std::unordered_map<std::uint64_t, std::uint16_t> calls_in_flight_;
     std::uint64_t revision_{0};
     std::uint64_t recorded_revision_{0};
     bool stopped_{false};
