Pass on an owner only when no earlier coordinator can have moved the range

A successor that renewed a recorded lease counted the range as sure at once. Its predecessor may still move it for up to 3 s; when the successor was followed by a third coordinator in that time, it passed on the old owner, the third granted the range with a token above all, and two servers held it.

Change: a range stays one that was adopted, and is renewed with its recorded token only, until a renewal that was sent after the predecessor's last possible move is confirmed. It is not passed on and not merged before.

Test: passes_on_nothing_that_its_predecessor_may_have_moved fails on the code before (two holders) and passes after.

--- a/ownership/range_authority.cpp
+++ b/ownership/range_authority.cpp
@@ -277,8 +277,13 @@
     it->call = 0;
     if (outcome.has_value()) {
         it->next_action = it->call_started + settings_.renewal;
-        it->is_adopted = false;
-        it->unsure_until = {};
+        // Until its last possible move a predecessor may take the range away again, which only the
+        // recorded token shows: the owner refuses it then.
+        bool is_sure = !it->is_adopted || it->call_started >= predecessor_moves_end_;
+        if (is_sure) {
+            it->is_adopted = false;
+            it->unsure_until = {};
+        }
         it->confirmed_grant = it->call_started;
         it->last_grant = std::max(it->last_grant, now);
         it->handover.clear();
@@ -480,7 +485,8 @@
         auto& right = next->second;
         bool fits = left.phase == range_phase::held && right.phase == range_phase::held &&
                     left.owner == right.owner && left.incarnation == right.incarnation &&
-                    left.call == 0 && right.call == 0 && !left.target && !right.target;
+                    left.call == 0 && right.call == 0 && !left.target && !right.target &&
+                    !left.is_adopted && !right.is_adopted;
         if (!fits) {
             ++it;
             continue;
--- a/tests/ownership/range_authority_test.cpp
+++ b/tests/ownership/range_authority_test.cpp
@@ -456,6 +456,35 @@
     BOOST_TEST(world.most_holders == 1);
 }
 
+// Guards against a second change of coordinator: the first successor had renewed a lease before the
+// first coordinator, still running, moved the range, and passed it on as sure.
+BOOST_AUTO_TEST_CASE(passes_on_nothing_that_its_predecessor_may_have_moved)
+{
+    lease_world world;
+    auto first = world.make_authority();
+    world.start(*first);
+    auto recorded = first->recorded();
+    auto second = world.make_authority();
+    second->take_over(recorded, fencing_token{1000}, fencing_token{2000}, world.time.now(),
+                      world.time.now());
+    second->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    world.run(*second, milliseconds{300});
+    BOOST_TEST(owner_of(*second, 5000, world) == "a");
+    first->move({0, 65'535}, server_id{"b"}, world.time.now());
+    world.run(*first, milliseconds{50});
+    BOOST_TEST(world.servers.at(server_id{"b"}).holds(5000));
+    second->stop();
+
+    auto third = world.make_authority();
+    third->take_over(second->recorded(), fencing_token{2000}, fencing_token{3000}, world.time.now(),
+                     world.time.now());
+    third->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    third->set_predecessor_end(world.time.now());
+    third->accept_transfer(second->transfer(world.time.now()), world.time.now());
+    world.run(*third, seconds{2});
+    BOOST_TEST(world.most_holders == 1);
+}
+
 // Guards against a late answer that undoes what the successor did meanwhile.
 BOOST_AUTO_TEST_CASE(keeps_to_its_own_grants_when_its_predecessor_tells_late)
 {
