Tidy the lease calls and the tests of this change

Read once more, without a change of behaviour but for one leak: a call that was given up stayed in the index of calls when its connection had been replaced (drop_call). is_unclear is is_owner_unknown now.

Tests: the check that a topic in use is left alone could not fail, since it allowed the one call that it should have noticed; it demands none now and was seen failing with the condition of retry removed. The fakes of the store and of the servers play the platform and stand in tests/platform.

--- a/ownership/leased_range.h
+++ b/ownership/leased_range.h
@@ -21,7 +21,7 @@
     /// The owner is the one that the predecessor recorded; the next grant repeats its token.
     bool is_adopted{false};
     /// The predecessor may have given the range to a server that it did not record.
-    bool is_unclear{false};
+    bool is_owner_unknown{false};
     /// Latest time at which a grant to the owner may have arrived.
     time_point last_grant{};
     /// `last_grant` before the call in flight.
--- a/ownership/range_authority.cpp
+++ b/ownership/range_authority.cpp
@@ -123,7 +123,7 @@
         }
         // A range that a predecessor may have moved has another holder perhaps.
         it.free_at = std::max(now, it.unsure_until);
-        it.call = 0;
+        drop_call(it);
         it.handover.clear();
         it.is_granted = false;
         set_phase(it, it.free_at > now ? range_phase::waiting : range_phase::unowned,
@@ -178,7 +178,7 @@
         right.last_grant = std::max(right.last_grant, time_.now() + settings_.call_timeout);
         left.last_grant = right.last_grant;
         // Its answer says nothing about one part: a release of the other may have overtaken it.
-        left.call = 0;
+        drop_call(left);
         left.next_action = right.next_action;
     }
     right.call = 0;
@@ -221,7 +221,7 @@
         found.release_token = take_token();
         found.is_released = false;
         found.handover.clear();
-        found.call = 0;
+        drop_call(found);
         found.target = target;
         found.next_action = now;
         set_phase(found, range_phase::releasing, "move");
@@ -237,6 +237,12 @@
     return it.call;
 }
 
+auto range_authority::drop_call(range& it) -> void
+{
+    calls_in_flight_.erase(it.call);
+    it.call = 0;
+}
+
 auto range_authority::find_call(std::uint64_t call) -> range*
 {
     // A range keeps its first key while it has a call in flight.
@@ -313,7 +319,7 @@
         // The predecessor moved the range without recording it; its owner is unknown.
         it->free_at = lapse_of(std::max(predecessor_ends_, it->last_grant));
         it->unsure_until = lapse_of(predecessor_ends_);
-        it->is_unclear = true;
+        it->is_owner_unknown = true;
         it->is_granted = false;
         set_phase(*it, range_phase::waiting, "adoption-refused");
         it->owner = {};
@@ -356,7 +362,7 @@
 {
     it.free_at = std::max(lapse_of(it.last_grant), it.unsure_until);
     it.previous = it.owner;
-    it.call = 0;
+    drop_call(it);
     it.is_granted = false;
     it.handover.clear();
     set_phase(it, it.free_at > now ? range_phase::waiting : range_phase::unowned, event);
@@ -381,15 +387,14 @@
 {
     if (it.call != 0 && now >= it.call_started + settings_.lost_call) {
         // The connection was replaced with the call on it.
-        calls_in_flight_.erase(it.call);
-        it.call = 0;
+        drop_call(it);
         it.last_grant = std::max(it.last_grant, now);
     }
     if (it.call != 0 || now < it.next_action) {
         if (it.phase == range_phase::releasing &&
             now >= std::max(it.previous_lapse, it.unsure_until)) {
             // The lease has lapsed, whatever becomes of the release.
-            it.call = 0;
+            drop_call(it);
         } else {
             return;
         }
@@ -447,7 +452,7 @@
         if (now < it.free_at) {
             return;
         }
-        it.is_unclear = false;
+        it.is_owner_unknown = false;
         set_phase(it, range_phase::unowned, "lapsed");
         [[fallthrough]];
     case range_phase::unowned:
--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -184,6 +184,8 @@
     auto set_phase(range& it, range_phase phase, std::string_view event) -> void;
     auto on_restart(range& it, std::int64_t incarnation, time_point now) -> void;
     auto add_call(range& it, time_point now) -> std::uint64_t;
+    /// Makes the outcome of a call in flight, if there is one, count for nothing.
+    auto drop_call(range& it) -> void;
     auto start_grant(range& it, time_point now) -> void;
     auto start_release(range& it, time_point now) -> void;
     auto finish_grant(std::uint64_t call, const result<void>& outcome) -> void;
--- a/ownership/range_authority_succession.cpp
+++ b/ownership/range_authority_succession.cpp
@@ -26,7 +26,7 @@
         it.keys = {static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(last)};
         it.phase = range_phase::waiting;
         bool has_predecessor = predecessor_ends_ != time_point{};
-        it.is_unclear = has_predecessor;
+        it.is_owner_unknown = has_predecessor;
         it.free_at = has_predecessor ? lapse_of(predecessor_ends_) : now;
         ranges_.emplace(it.keys.first, std::move(it));
     };
@@ -85,7 +85,7 @@
 {
     std::vector<transferred_range> out;
     for (const auto& [first, it] : ranges_) {
-        if (it.is_adopted || it.is_unclear || now < it.unsure_until) {
+        if (it.is_adopted || it.is_owner_unknown || now < it.unsure_until) {
             continue;
         }
         transferred_range to;
@@ -142,13 +142,13 @@
     // been paused and taken the lease for lapsed.
     bool was_tried = it.call_started != time_point{};
     bool is_recorded_owner = !is_free && it.owner == from.owner;
-    bool may_accept = it.is_unclear || (it.is_adopted && (!was_tried || is_recorded_owner));
+    bool may_accept = it.is_owner_unknown || (it.is_adopted && (!was_tried || is_recorded_owner));
     if (!may_accept) {
         return;
     }
-    it.call = 0;
+    drop_call(it);
     it.is_adopted = false;
-    it.is_unclear = false;
+    it.is_owner_unknown = false;
     it.unsure_until = {};
     it.handover.clear();
     it.next_action = now;
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -3,13 +3,14 @@
 #include "gateway/gateway.h"
 #include "tests/adapters/loop_fixture.h"
 #include "tests/adapters/raw_connection.h"
-#include "tests/gateway/fake_backend.h"
-#include "tests/gateway/fake_store.h"
+#include "tests/platform/fake_backend.h"
+#include "tests/platform/fake_store.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cornelswitch::test {
 
@@ -107,6 +108,16 @@
                "\r\nX-Deadline-Ms: 2000\r\n" + more + "\r\n";
     }
 
+    /// Leaves the requests to servers without keys unanswered, in `waiting`.
+    auto hold_plain_requests() -> void
+    {
+        for (auto* backend : {&a, &b}) {
+            backend->act = [this](fake_backend&, received_request& request) {
+                waiting.push_back(request);
+            };
+        }
+    }
+
     /// Sends one request on a new connection and returns the whole response.
     auto call(const std::string& bytes) -> std::string
     {
@@ -145,6 +156,7 @@
     fake_backend b;
     fake_backend k1;
     fake_backend k2;
+    std::vector<received_request> waiting;
     event_log events;
     node_settings settings;
     std::unique_ptr<gateway> it;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -67,10 +67,7 @@
 BOOST_AUTO_TEST_CASE(answers_pipelined_requests_in_order)
 {
     start();
-    std::vector<received_request> waiting;
-    auto hold = [&](fake_backend&, received_request& request) { waiting.push_back(request); };
-    a.act = hold;
-    b.act = hold;
+    hold_plain_requests();
     auto connection = connect();
     connection->send(request("/read/1", "r1") + request("/read/2", "r2"));
     run_until([&] { return waiting.size() == 2; });
@@ -423,10 +420,7 @@
 BOOST_AUTO_TEST_CASE(finishes_what_it_has_read_and_announces_the_end)
 {
     start();
-    std::vector<received_request> waiting;
-    auto hold = [&](fake_backend&, received_request& request) { waiting.push_back(request); };
-    a.act = hold;
-    b.act = hold;
+    hold_plain_requests();
     auto connection = connect();
     connection->send(request("/read/1", "r1"));
     run_until([&] { return waiting.size() == 1; });
@@ -445,10 +439,7 @@
 BOOST_AUTO_TEST_CASE(answers_the_next_request_when_it_was_too_late_to_announce_the_end)
 {
     start();
-    std::vector<received_request> waiting;
-    auto hold = [&](fake_backend&, received_request& request) { waiting.push_back(request); };
-    a.act = hold;
-    b.act = hold;
+    hold_plain_requests();
     auto connection = connect();
     connection->send(request("/read/1", "r1") + request("/read/2", "r2"));
     run_until([&] { return waiting.size() == 2; });
--- a/tests/gateway/store_topic_test.cpp
+++ b/tests/gateway/store_topic_test.cpp
@@ -1,7 +1,7 @@
 #include "core/manual_clock.h"
 #include "gateway/store_topic.h"
 #include "tests/adapters/loop_fixture.h"
-#include "tests/gateway/fake_store.h"
+#include "tests/platform/fake_store.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,15 +14,17 @@
 
 /// A copy of one topic of a store.
 struct followed_topic : loop_fixture {
-    followed_topic()
+    followed_topic() { follow(milliseconds{50}); }
+
+    /// Makes the copy, which starts a read at most every `pace`.
+    auto follow(duration pace) -> void
     {
         store_topic::hooks hooks;
         hooks.on_availability = [this](bool is_available) { changes += is_available ? "+" : "-"; };
-        topic =
-            std::make_unique<store_topic>(loop, client, events,
-                                          topic_options{"keyed.test", duration::zero(),
-                                                        milliseconds{50}, milliseconds{300}, true},
-                                          std::move(hooks));
+        topic = std::make_unique<store_topic>(
+            loop, client, events,
+            topic_options{"keyed.test", duration::zero(), pace, milliseconds{300}, true},
+            std::move(hooks));
     }
 
     fake_store store{loop};
@@ -85,15 +87,17 @@
     run_until([&] { return topic->records().at("config") == "5"; });
 }
 
-BOOST_AUTO_TEST_CASE(leaves_a_topic_alone_that_is_read_anyway)
+// Guards against calls, which are billed, for a topic that needs none.
+BOOST_AUTO_TEST_CASE(is_left_alone_while_it_can_be_read)
 {
+    follow(std::chrono::seconds{30});
     store.put("keyed.test", "config", "1");
     topic->start();
     run_until([&] { return topic->is_available(); });
     auto calls = store.calls;
     topic->retry();
-    run_for(milliseconds{20});
-    BOOST_TEST(store.calls <= calls + 1);
+    run_for(milliseconds{100});
+    BOOST_TEST(store.calls == calls);
     BOOST_TEST(changes == "+");
 }
 
--- a/tests/ownership/range_authority_test.cpp
+++ b/tests/ownership/range_authority_test.cpp
@@ -144,6 +144,18 @@
         run(it, milliseconds{100});
     }
 
+    /// A coordinator that starts from `recorded`, with tokens of its own from `first_token`.
+    auto succeed(const std::vector<recorded_range>& recorded, std::uint64_t first_token,
+                 bool has_predecessor = true) -> std::unique_ptr<range_authority>
+    {
+        auto it = make_authority();
+        it->take_over(recorded, fencing_token{first_token}, fencing_token{first_token + 1000},
+                      has_predecessor ? std::optional{time.now()} : std::nullopt, time.now());
+        it->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}, {server_id{"c"}, 1}},
+                        time.now());
+        return it;
+    }
+
     manual_clock time;
     std::map<server_id, fake_lease_server> servers;
     std::set<server_id> cut_off;
@@ -257,10 +269,7 @@
     // The coordinator ends, the server is back, and a successor starts from the old record.
     it->stop();
     world.cut_off.clear();
-    auto next = world.make_authority();
-    next->take_over(recorded, fencing_token{1000}, fencing_token{2000}, std::nullopt,
-                    world.time.now());
-    next->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    auto next = world.succeed(recorded, 1000, false);
     world.run(*next, seconds{1});
     BOOST_TEST(owner_of(*next, 5000, world) == "a");
     BOOST_TEST(world.most_holders == 1);
@@ -312,10 +321,7 @@
     world.start(*first);
     auto recorded = first->recorded();
     first->stop();
-    auto next = world.make_authority();
-    next->take_over(recorded, fencing_token{1000}, fencing_token{2000}, world.time.now(),
-                    world.time.now());
-    next->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    auto next = world.succeed(recorded, 1000);
     world.run(*next, milliseconds{100});
     BOOST_TEST(owner_of(*next, 5000, world) == "a");
 }
@@ -327,10 +333,7 @@
     auto first = world.make_authority();
     world.start(*first);
     auto recorded = first->recorded();
-    auto next = world.make_authority();
-    next->take_over(recorded, fencing_token{1000}, fencing_token{2000}, world.time.now(),
-                    world.time.now());
-    next->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    auto next = world.succeed(recorded, 1000);
     next->confirm(world.time.now());
     BOOST_TEST(!next->may_move(world.time.now()));
     next->set_predecessor_end(world.time.now());
@@ -349,11 +352,7 @@
     world.run(*first, milliseconds{100});
     BOOST_TEST(world.servers.at(server_id{"b"}).holds(5000));
 
-    auto next = world.make_authority();
-    next->take_over(recorded, fencing_token{1000}, fencing_token{2000}, world.time.now(),
-                    world.time.now());
-    next->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}, {server_id{"c"}, 1}},
-                      world.time.now());
+    auto next = world.succeed(recorded, 1000);
     // The predecessor goes on without contact to the store for as long as it may.
     for (int n = 0; n < 200; ++n) {
         next->move({0, 65'535}, server_id{"c"}, world.time.now());
@@ -382,11 +381,7 @@
     first->move({5000, 5999}, server_id{"c"}, world.time.now());
     first->stop();
 
-    auto next = world.make_authority();
-    next->take_over(recorded, fencing_token{1000}, fencing_token{2000}, world.time.now(),
-                    world.time.now());
-    next->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}, {server_id{"c"}, 1}},
-                      world.time.now());
+    auto next = world.succeed(recorded, 1000);
     world.run(*next, milliseconds{50});
     next->set_predecessor_end(world.time.now());
     next->accept_transfer(first->transfer(world.time.now()), world.time.now());
@@ -411,10 +406,7 @@
     world.run(*first, milliseconds{100});
     first->stop();
 
-    auto next = world.make_authority();
-    next->take_over(recorded, fencing_token{1000}, fencing_token{2000}, world.time.now(),
-                    world.time.now());
-    next->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    auto next = world.succeed(recorded, 1000);
     world.run(*next, milliseconds{400});
     BOOST_TEST(owner_of(*next, 1000, world) == "");
     next->set_predecessor_end(world.time.now());
@@ -436,10 +428,7 @@
     first->stop();
     world.time.advance(milliseconds{3500});
 
-    auto next = world.make_authority();
-    next->take_over(recorded, fencing_token{1000}, fencing_token{2000}, world.time.now(),
-                    world.time.now());
-    next->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    auto next = world.succeed(recorded, 1000);
     world.loses_answers = true;
     world.run(*next, milliseconds{300});
     BOOST_TEST(world.servers.at(server_id{"a"}).holds(5000));
@@ -464,10 +453,7 @@
     auto first = world.make_authority();
     world.start(*first);
     auto recorded = first->recorded();
-    auto second = world.make_authority();
-    second->take_over(recorded, fencing_token{1000}, fencing_token{2000}, world.time.now(),
-                      world.time.now());
-    second->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    auto second = world.succeed(recorded, 1000);
     world.run(*second, milliseconds{300});
     BOOST_TEST(owner_of(*second, 5000, world) == "a");
     first->move({0, 65'535}, server_id{"b"}, world.time.now());
@@ -475,10 +461,7 @@
     BOOST_TEST(world.servers.at(server_id{"b"}).holds(5000));
     second->stop();
 
-    auto third = world.make_authority();
-    third->take_over(second->recorded(), fencing_token{2000}, fencing_token{3000}, world.time.now(),
-                     world.time.now());
-    third->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    auto third = world.succeed(second->recorded(), 2000);
     third->set_predecessor_end(world.time.now());
     third->accept_transfer(second->transfer(world.time.now()), world.time.now());
     world.run(*third, seconds{2});
@@ -495,10 +478,7 @@
     auto told = first->transfer(world.time.now());
     first->stop();
 
-    auto next = world.make_authority();
-    next->take_over(recorded, fencing_token{1000}, fencing_token{2000}, std::nullopt,
-                    world.time.now());
-    next->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}}, world.time.now());
+    auto next = world.succeed(recorded, 1000, false);
     world.run(*next, milliseconds{300});
     next->move({0, 65'535}, server_id{"b"}, world.time.now());
     world.run(*next, milliseconds{100});
