Log how old a configuration is, who told it, and when the loop runs late

The logs of the incident (CONFIG, FAILBACK) cannot tell its hypotheses apart: a version that comes late through a busy instance looks like one that waits on a small link, and a request to a cold server does not say whether this instance knew that it was cold. `configuration` now has `bytes`, `age_ms` and `source`; `loop-late` shows an instance that is short of processor time or was suspended; `request` has `server_cold_ms`. The volume stays bounded: one `loop-late` line a second.

No logic changes. The gateway's tests pass; the field for an admission decided alone (no `decided_by`) was there before.

--- a/gateway/caller_exchange.cpp
+++ b/gateway/caller_exchange.cpp
@@ -174,6 +174,7 @@
         return;
     }
     ++sends_;
+    known_cold_ = std::max(known->cold_until, known->presumed_cold_until) - now;
     is_committed_ = false;
     response_body_.clear();
     response_bytes_ = 0;
@@ -579,6 +580,9 @@
             line.ms("expected_wait_ms", decision_.expected_wait)
                 .ms("retry_after_ms", decision_.retry_after);
         }
+        if (known_cold_ > duration::zero()) {
+            line.ms("server_cold_ms", known_cold_);
+        }
         if (!decision_.decided_by.value().empty()) {
             line.text("decided_by", decision_.decided_by.value());
         }
--- a/gateway/caller_exchange.h
+++ b/gateway/caller_exchange.h
@@ -129,6 +129,8 @@
     std::optional<admission_id> admission_;
     server_id server_;
     std::int64_t server_incarnation_{0};
+    /// How long the server would stay cold, as far as was known when the request was sent.
+    duration known_cold_{0};
     std::shared_ptr<server_attempt> attempt_;
     time_point sent_at_{};
     duration waited_{0};
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -16,6 +16,9 @@
 constexpr duration active_tick = milliseconds{25};
 constexpr duration idle_tick = milliseconds{100};
 constexpr duration slow_tick_interval = milliseconds{250};
+/// Delay of the loop that is logged: the instance is short of processor time or was suspended.
+constexpr duration reported_delay = milliseconds{150};
+constexpr duration delay_report_interval = seconds{1};
 /// The load balancer needs two failed checks, a second apart, to take an instance out.
 constexpr duration drain_before_close = milliseconds{2600};
 /// Instances that are assumed until the fleet's number is known, so that nobody uses too large a
@@ -376,9 +379,23 @@
     return route.targets[best].service;
 }
 
+auto gateway::watch_loop(time_point now) -> void
+{
+    auto delay = tick_due_ == time_point{} ? duration::zero() : now - tick_due_;
+    longest_delay_ = std::max(longest_delay_, delay);
+    if (longest_delay_ < reported_delay || now < next_delay_report_) {
+        return;
+    }
+    next_delay_report_ = now + delay_report_interval;
+    log_.line("loop-late").ms("delay_ms", longest_delay_);
+    metrics_.count("loop_late_total");
+    longest_delay_ = duration::zero();
+}
+
 auto gateway::tick() -> void
 {
     auto now = loop_.now();
+    watch_loop(now);
     for (auto& [name, it] : runtimes_) {
         it->tick(now);
     }
@@ -391,7 +408,9 @@
     }
     bool is_active =
         std::ranges::any_of(runtimes_, [](const auto& it) { return it.second->is_active(); });
-    tick_timer_ = loop_.schedule(is_active ? active_tick : idle_tick, [this] { tick(); });
+    auto pause = is_active ? active_tick : idle_tick;
+    tick_due_ = loop_.now() + pause;
+    tick_timer_ = loop_.schedule(pause, [this] { tick(); });
 }
 
 auto gateway::slow_tick(time_point now) -> void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -72,6 +72,8 @@
     auto apply_duties() -> void;
     auto tick() -> void;
     auto slow_tick(time_point now) -> void;
+    /// Logs that the loop runs late, at most once a second.
+    auto watch_loop(time_point now) -> void;
     /// Asks the servers in use whether they are cold, while the store cannot tell.
     auto check_health(time_point now) -> void;
     auto health_client(const server_id& server) -> unary_client*;
@@ -121,6 +123,10 @@
     bool is_coordinator_{false};
     time_point next_join_{};
     time_point next_slow_tick_{};
+    /// When the next tick is due, and the longest delay of one since it was last reported.
+    time_point tick_due_{};
+    duration longest_delay_{0};
+    time_point next_delay_report_{};
     std::uint64_t seen_directory_revision_{0};
     std::uint32_t seen_instances_{0};
     time_point shutdown_started_{};
--- a/gateway/gateway_store.cpp
+++ b/gateway/gateway_store.cpp
@@ -72,6 +72,9 @@
         .number("version", static_cast<std::int64_t>(next.version))
         .number("earlier",
                 configuration_ ? static_cast<std::int64_t>(configuration_->content.version) : 0)
+        .number("bytes", static_cast<std::int64_t>(value.size()))
+        .ms("age_ms", loop_.now() - knowledge_.operators().last_read())
+        .text("source", knowledge_.source_of(shared_topic::operators))
         .number("routes", static_cast<std::int64_t>(next.routes.size()))
         .number("services", static_cast<std::int64_t>(next.services.size()));
     auto active = std::make_shared<active_configuration>();
--- a/gateway/knowledge.h
+++ b/gateway/knowledge.h
@@ -63,6 +63,8 @@
     auto operators() -> store_topic& { return topic(shared_topic::operators); }
     auto own() -> store_topic& { return topic(shared_topic::own); }
     auto is_loaded() const -> bool;
+    /// Where the newest state of a topic came from: a peer's name, or "store".
+    auto source_of(shared_topic it) const -> std::string;
     /// Instances of the fleet, as far as this one was told; 0 when it was not.
     auto instances() const -> std::uint32_t { return status_.instances; }
 
@@ -120,6 +122,8 @@
     std::array<std::unique_ptr<store_topic>, topics> topics_;
     std::array<std::deque<batch>, topics> recent_;
     std::array<time_point, topics> next_catch_up_{};
+    /// Instance that told this one of a topic last.
+    std::array<instance_id, topics> told_by_{};
     /// Entries of servers as they were passed on last.
     std::unordered_map<std::string, std::string> passed_entries_;
     std::map<admission_source, audience> audience_;
--- a/gateway/knowledge_news.cpp
+++ b/gateway/knowledge_news.cpp
@@ -151,6 +151,7 @@
     auto& copy = topic(news.topic);
     auto before = copy.end();
     bool was_loaded = copy.is_loaded();
+    told_by_[index(news.topic)] = from;
     bool is_taken = news.is_whole
                         ? copy.accept_whole(news.end, news.records, news.age)
                         : copy.accept(news.from, news.end, news.records, news.age, news.is_reload);
@@ -176,6 +177,11 @@
     }
 }
 
+auto knowledge::source_of(shared_topic it) const -> std::string
+{
+    return topic(it).told_at() ? told_by_[index(it)].value() : "store";
+}
+
 auto knowledge::on_pause(const instance_id& from) -> void
 {
     fed_at_ = loop_.now();
