Add a failing test: instances that lose their coordinator together flood a cold server

The earlier test of the same promise had as many instances as requests allowed (11), and a clock that began at zero, so that the pause counted from the epoch had not passed.

--- a/tests/routing/admission_scheduler_test.cpp
+++ b/tests/routing/admission_scheduler_test.cpp
@@ -4,7 +4,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <map>
+#include <memory>
+#include <numeric>
 
 namespace cornelswitch {
 namespace {
@@ -349,6 +352,54 @@
     BOOST_TEST(world.is_sent(50));
 }
 
+// Guards against a flooded cold server when all instances lose their coordinator at once: each kept
+// to its own pace, but nothing kept all of them from sending their first request together.
+BOOST_AUTO_TEST_CASE(instances_that_lose_their_coordinator_together_do_not_flood_it)
+{
+    constexpr std::uint32_t instances = 86;
+    constexpr double limit = 12.8;
+    constexpr auto step = milliseconds{20};
+    constexpr std::size_t steps_per_second = seconds{1} / step;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        std::vector<std::unique_ptr<scheduler_world>> worlds;
+        for (std::uint32_t n = 0; n < instances; ++n) {
+            admission_settings settings;
+            settings.is_authority = false;
+            settings.cold_limit = limit;
+            settings.instances = instances;
+            worlds.push_back(std::make_unique<scheduler_world>(settings));
+            auto& world = *worlds.back();
+            world.random.seed(seed * instances + n);
+            // The pauses that limit an instance are shorter than the time for which it has run.
+            world.time.advance(std::chrono::hours{1});
+            auto cold = server("a", 6);
+            cold.cold_until = world.time.now() + seconds{3};
+            world.servers({cold});
+        }
+        std::deque<std::size_t> last_second;
+        std::size_t most = 0;
+        std::uint64_t id = 0;
+        for (std::size_t n = 0; n < 3 * steps_per_second; ++n) {
+            ++id;
+            std::size_t sent = 0;
+            for (auto& world : worlds) {
+                world->submit(world->request(id, milliseconds{100}, milliseconds{150}));
+                sent += world->is_sent(id) ? 1 : 0;
+                world->time.advance(step);
+                world->it.tick(world->time.now());
+            }
+            last_second.push_back(sent);
+            if (last_second.size() > steps_per_second) {
+                last_second.pop_front();
+            }
+            most = std::max(
+                most, std::accumulate(last_second.begin(), last_second.end(), std::size_t{0}));
+        }
+        BOOST_TEST(static_cast<double>(most) <= limit,
+                   "seed " << seed << ": " << most << " requests in one second");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(adds_up_over_instances_without_contact)
 {
     constexpr std::uint32_t instances = 11;
