Spread the first requests of instances without a coordinator to a cold server

Callers saw time-outs: requests to servers that had just started ran into the deadline, because up to 20 came to one server within one second (12.8 allowed).

Cause: an instance that schedules alone kept to its part of a cold server's limit by a pause between two requests, counted from the last one. All instances that lose their coordinator in the same moment had none, so each sent its first request at once; the limit held in the mean only. It is a budget that is divided without contact and whose parts all start full.

Now each instance waits for a random part of its first pause (shared_pace), so that the sum is spread like the mean. Looked for the same cause elsewhere: the repeat budget's parts are token buckets that add up to at most 0.7 of the budget whenever they are used, so they may start full.

Ruled out: that the scheduler learned too late that the server was cold. The entry with cold_ms 1959 was applied before the requests were sent.

--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -150,6 +150,7 @@
 {
     ++server.in_flight;
     server.cold_sends.push_back(now);
+    server.cold_pace.on_act(now);
     running_.insert_or_assign({request.source, request.id},
                               running_request{server.info.id, request.work, now, request.expires});
     admission_decision decision;
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/random.h"
+#include "routing/shared_pace.h"
 
 #include <cstdint>
 #include <deque>
@@ -205,6 +206,9 @@
         time_point unsure_since{};
         time_point shed_until{};
         std::deque<time_point> cold_sends;
+        /// This instance's part of the server's limit while it is cold and the instance schedules
+        /// alone.
+        shared_pace cold_pace;
     };
     using running_key = std::pair<admission_source, admission_id>;
     /// Requests that wait for the same servers, in the order in which they are to be sent.
--- a/routing/admission_scheduler_servers.cpp
+++ b/routing/admission_scheduler_servers.cpp
@@ -97,18 +97,17 @@
                               server.info.heard_at <= server.unsure_since &&
                               now < server.unsure_since + restart_doubt;
     if (now >= server.info.cold_until && !may_have_restarted) {
+        server.cold_pace.reset();
         return true;
     }
     if (settings_.is_authority) {
         auto most = std::max(1.0, std::floor(settings_.cold_limit * authority_cold_share));
         return static_cast<double>(server.cold_sends.size()) < most && server.in_flight < 1;
     }
-    // Instances without contact to each other must not add up to more than the limit.
-    double gap_s =
+    double interval_s =
         settings_.instances / std::max(0.1, settings_.cold_limit * independent_cold_share);
-    auto last = server.cold_sends.empty() ? time_point{} : server.cold_sends.back();
-    return gap_s <= 1.0 ? server.cold_sends.empty()
-                        : last + from_ms(gap_s * 1000.0) <= now && server.cold_sends.empty();
+    auto interval = std::max(cold_window, from_ms(interval_s * 1000.0));
+    return server.cold_pace.may_act(now, interval, random_);
 }
 
 auto admission_scheduler::is_avoided(const server_state& server, time_point now) -> bool
