Take nothing from a link that was given up

Cause: an instance gives a link up when the other side is silent, and destroys it in the next turn of the loop, because this may run inside the link's own handler. What arrives between the two was still handled: a first message (hello) on the link that was given up made the entry count as working while it had no link, and the next look at it read through a null pointer. A late end of the old link could take the new one down in the same way. Instances whose candidate is slow or suspended meet this: its hello comes just after the patience with it.

Now peer_link::close ends a link with its handlers, and a link that is given up, or a session that is dropped, is closed first. Looked for the same elsewhere: the links to a predecessor check the term of each message.

--- a/gateway/peer_link.cpp
+++ b/gateway/peer_link.cpp
@@ -92,18 +92,25 @@
         return;
     }
     auto alive = alive_;
-    // Copied, because a handler may end the link.
-    auto handler = handlers_.on_message;
     for (auto& it : messages.value()) {
-        if (handler) {
-            handler(std::move(it));
+        // Copied, because a handler may close or destroy the link.
+        auto handler = handlers_.on_message;
+        if (!handler) {
+            return;
         }
+        handler(std::move(it));
         if (!*alive) {
             return;
         }
     }
 }
 
+auto peer_link::close() -> void
+{
+    handlers_ = {};
+    stream_->abort();
+}
+
 auto peer_link::end() -> void
 {
     if (auto handler = std::exchange(handlers_.on_end, nullptr)) {
--- a/gateway/peer_link.h
+++ b/gateway/peer_link.h
@@ -33,6 +33,8 @@
     auto send(const peer_message& message) -> void;
     /// Sends a message that was encoded before, as for many receivers.
     auto send_encoded(std::string_view bytes) -> void;
+    /// Ends the connection without a call of a handler, also for what has arrived already.
+    auto close() -> void;
     auto is_open() const -> bool { return stream_->is_open(); }
     /// When the last bytes arrived.
     auto last_heard() const -> time_point { return last_heard_; }
--- a/gateway/peer_mesh.cpp
+++ b/gateway/peer_mesh.cpp
@@ -166,6 +166,7 @@
     auto& it = found->second;
     // Destroyed later: this may run inside one of its handlers.
     auto old = std::shared_ptr<peer_link>{std::move(it.link)};
+    old->close();
     loop_.schedule(duration::zero(), [old] {});
     it.next_connect = loop_.now() + std::max(it.pause, first_pause);
     it.last_ping = {};
@@ -300,6 +301,7 @@
     }
     log_.line("peer-lost").text("peer", node.mapped()->sender.node.value());
     // Destroyed later: this may run inside one of its handlers.
+    node.mapped()->link->close();
     loop_.schedule(duration::zero(), [old = node.mapped()] {});
     hooks_.on_session_end(source);
 }
