--- a/tests/gateway/knowledge_test.cpp
+++ b/tests/gateway/knowledge_test.cpp
@@ -7,6 +7,66 @@
 
 using namespace test;
 
+/// A candidate that knows the store as it was at the start, and says that there is no news.
+class stuck_candidate {
+public:
+    stuck_candidate(event_loop& loop, std::vector<topic_news> first_news)
+        : loop_{loop}, first_news_{std::move(first_news)}, self_{instance_id{"stuck"},
+                                                                 zone_id{"z1"},
+                                                                 {"127.0.0.1", free_port_pair()},
+                                                                 0.5},
+          listener_{
+              listener::open(loop, self_.address, [this](auto* socket) { accept(socket); }).value()}
+    {
+        pause();
+    }
+    stuck_candidate(const stuck_candidate&) = delete;
+    auto operator=(const stuck_candidate&) -> stuck_candidate& = delete;
+    ~stuck_candidate() { loop_.cancel(timer_); }
+
+    auto self() const -> const candidate& { return self_; }
+    auto subscriptions() const -> int { return subscriptions_; }
+
+private:
+    auto accept(st_h2o_socket_t* socket) -> void
+    {
+        links_.push_back(std::make_unique<peer_link>(
+            loop_, std::make_unique<tcp_stream>(socket, stream_options{})));
+        auto* link = links_.back().get();
+        peer_link::handlers handlers;
+        handlers.on_message = [this, link](const peer_message& message) {
+            if (std::holds_alternative<peer_ping>(message)) {
+                link->send(peer_pong{});
+            }
+            const auto* wanted = std::get_if<news_subscription>(&message);
+            if (wanted == nullptr || wanted->topics.empty()) {
+                return;
+            }
+            ++subscriptions_;
+            for (const auto& it : first_news_) {
+                link->send(it);
+            }
+        };
+        link->start(std::move(handlers));
+        link->send(peer_hello{self_, boot_id{77}, true});
+    }
+    auto pause() -> void
+    {
+        for (auto& it : links_) {
+            it->send(news_pause{});
+        }
+        timer_ = loop_.schedule(milliseconds{300}, [this] { pause(); });
+    }
+
+    event_loop& loop_;
+    std::vector<topic_news> first_news_;
+    candidate self_;
+    std::unique_ptr<listener> listener_;
+    std::vector<std::unique_ptr<peer_link>> links_;
+    int subscriptions_{0};
+    event_loop::timer_id timer_{0};
+};
+
 /// A large machine that reads the store, and a small one that takes its news from it.
 struct mixed_fleet : gateway_fixture {
     mixed_fleet()
@@ -157,6 +217,47 @@
     BOOST_TEST(calls_of_small() > before);
 }
 
+// Guards against CONFIG of the incident: a candidate that was short of processor time, or behind a
+// full link, kept all instances that took their news from it behind, because it was alive.
+BOOST_AUTO_TEST_CASE(comes_from_another_candidate_when_its_own_is_alive_but_behind)
+{
+    topic_news servers;
+    servers.topic = shared_topic::servers;
+    servers.is_whole = true;
+    servers.end = log_offset{4};
+    for (auto* it : {&a, &b}) {
+        servers.records.emplace_back(it == &a ? "a" : "b", it->entry("plain"));
+    }
+    topic_news operators;
+    operators.topic = shared_topic::operators;
+    operators.is_whole = true;
+    operators.end = log_offset{1};
+    operators.records.emplace_back("config", configuration(1));
+    stuck_candidate stuck{loop, {servers, operators}};
+    store.put("keyed.cornelswitch-candidates", "stuck", encode_candidate(stuck.self()));
+    run_for(milliseconds{300});
+    // Which candidate an instance turns to depends on its name.
+    std::vector<std::unique_ptr<gateway>> others;
+    for (std::uint64_t n = 0; stuck.subscriptions() == 0; ++n) {
+        BOOST_REQUIRE(n < 20);
+        small_settings = make_settings("small-" + std::to_string(n), 0.1);
+        others.push_back(start_small(small_settings, 100 + n));
+        run_until([&] { return ready_at(small_settings); });
+    }
+    store.put("keyed.op", "config", with_route(5, "new"));
+    run_for(seconds{2});
+    BOOST_TEST(status(call_small(request("/new/1", "r1"))) == "200");
+
+    BOOST_TEST_CONTEXT("and stays with the one that is ahead")
+    {
+        auto before = stuck.subscriptions();
+        store.put("keyed.op", "config", with_route(6, "newer"));
+        run_for(milliseconds{1500});
+        BOOST_TEST(status(call_small(request("/newer/1", "r2"))) == "200");
+        BOOST_TEST(stuck.subscriptions() == before);
+    }
+}
+
 // Guards against a store that forgets its history while an instance takes its news from another.
 BOOST_AUTO_TEST_CASE(survives_deleted_records)
 {
