Turn to another candidate when the own one is behind

Callers got 404 for routes that had been added, or answers by rules that had been replaced, up to three seconds after the ack.

Cause: an instance takes its news of the store from one candidate, and turned to another one only when nothing at all came for 1.3 s. A candidate that is short of processor time goes on sending its sign of life, and each message that it does get out counts as one, so its listeners stayed as far behind as it was. It is a sign of life that was taken for being up to date.

Now an instance asks one other candidate after the other, twice a second, where its copies of the topics end (a few bytes each way), and turns to the one that has had more than itself for half a second (fleet/progress_watch, no network). It tells the earlier one that it wants no more: before, both went on sending to it, and each further change added one.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -251,6 +251,8 @@
         knowledge_.on_pause(from);
     } else if (const auto* status = std::get_if<fleet_status>(&message)) {
         knowledge_.on_status(*status);
+    } else if (const auto* report = std::get_if<progress_report>(&message)) {
+        knowledge_.on_progress(from, *report);
     } else if (const auto* decided = std::get_if<admission_answer>(&message)) {
         if (auto* it = runtime(decided->service)) {
             it->on_answer(from, *decided);
@@ -272,6 +274,10 @@
         knowledge_.on_audience(source, *report);
         return;
     }
+    if (std::holds_alternative<progress_query>(message)) {
+        knowledge_.on_progress_query(source);
+        return;
+    }
     std::visit(
         [&](const auto& content) {
             using type = std::decay_t<decltype(content)>;
--- a/gateway/knowledge.cpp
+++ b/gateway/knowledge.cpp
@@ -42,6 +42,9 @@
 /// Without a word from the one that it takes its news from, it turns to another.
 constexpr duration source_patience = milliseconds{1300};
 constexpr duration switch_interval = milliseconds{700};
+/// Another candidate is asked how far it is this often: with the grace for what is on its way, an
+/// instance that is behind knows that within a second.
+constexpr duration check_interval = milliseconds{500};
 constexpr duration report_interval = seconds{1};
 /// A doubted coordinator makes an instance read the records at most this often.
 constexpr duration refresh_interval = milliseconds{900};
@@ -285,6 +288,7 @@
         report_audience(now);
     } else {
         choose_source(now);
+        check_progress(now);
     }
     if (now >= next_pause_) {
         next_pause_ = now + pause_interval;
@@ -348,16 +352,22 @@
     }
 }
 
+auto knowledge::sources() const -> std::vector<instance_id>
+{
+    // Instances of one zone spread over its candidates.
+    auto turn = std::hash<std::string>{}(fleet_.self().node.value()) % 1024;
+    auto out = fleet_.ranked_in_zone(fleet_.self().zone, turn);
+    std::erase_if(out, [this](const auto& it) { return !mesh_.accepts_work(it); });
+    return out;
+}
+
 auto knowledge::choose_source(time_point now) -> void
 {
     bool is_silent = source_ && now > source_heard_at_ + source_patience;
     if ((source_ && !is_silent) || now < next_switch_) {
         return;
     }
-    // Instances of one zone spread over its candidates.
-    auto turn = std::hash<std::string>{}(fleet_.self().node.value()) % 1024;
-    auto order = fleet_.ranked_in_zone(fleet_.self().zone, turn);
-    std::erase_if(order, [this](const auto& it) { return !mesh_.accepts_work(it); });
+    auto order = sources();
     if (order.empty()) {
         source_.reset();
         return;
@@ -369,9 +379,35 @@
     subscribe(order[source_turn_ % order.size()]);
 }
 
+auto knowledge::check_progress(time_point now) -> void
+{
+    if (!source_) {
+        return;
+    }
+    if (auto better = progress_.find_better(now)) {
+        if (*better != *source_ && mesh_.accepts_work(*better)) {
+            log_.line("news-behind").text("peer", source_->value()).text("better", better->value());
+            subscribe(*better);
+        }
+        progress_.on_change(now);
+    }
+    if (now < next_check_) {
+        return;
+    }
+    next_check_ = now + check_interval;
+    auto others = sources();
+    std::erase(others, *source_);
+    if (!others.empty()) {
+        mesh_.send(others[check_turn_++ % others.size()], progress_query{});
+    }
+}
+
 auto knowledge::subscribe(const instance_id& to) -> void
 {
-    source_ = to;
+    auto earlier = std::exchange(source_, to);
+    if (earlier && *earlier != to) {
+        mesh_.send(*earlier, news_subscription{});
+    }
     source_heard_at_ = loop_.now();
     news_subscription wanted;
     for (auto it : all_topics) {
--- a/gateway/knowledge.h
+++ b/gateway/knowledge.h
@@ -2,6 +2,7 @@
 
 #include "core/random.h"
 #include "fleet/fleet_view.h"
+#include "fleet/progress_watch.h"
 #include "gateway/peer_mesh.h"
 #include "gateway/store_topic.h"
 
@@ -52,6 +53,8 @@
     auto on_status(const fleet_status& status) -> void;
     auto on_subscription(admission_source from, const news_subscription& wanted) -> void;
     auto on_audience(admission_source from, const audience_report& report) -> void;
+    auto on_progress_query(admission_source from) -> void;
+    auto on_progress(const instance_id& from, const progress_report& report) -> void;
     auto on_link(const instance_id& node, bool is_up) -> void;
     auto on_session(admission_source source) -> void;
     auto on_session_end(admission_source source) -> void;
@@ -104,7 +107,12 @@
     auto set_patience() -> void;
     auto start_topics() -> void;
     auto choose_source(time_point now) -> void;
+    /// Candidates that can be asked, the ones to be asked first at the front.
+    auto sources() const -> std::vector<instance_id>;
+    /// Takes the news from `to` from now on, and from no other one.
     auto subscribe(const instance_id& to) -> void;
+    /// Asks one candidate after the other how far it is.
+    auto check_progress(time_point now) -> void;
     auto report_audience(time_point now) -> void;
     /// Whether silence means that there is no news: not when this instance is cut off from the
     /// store and from every other candidate.
@@ -142,6 +150,9 @@
     std::optional<instance_id> source_;
     time_point source_heard_at_{};
     std::size_t source_turn_{0};
+    progress_watch progress_;
+    std::size_t check_turn_{0};
+    time_point next_check_{};
     time_point next_switch_{};
     /// When a candidate could last be reached, for an instance that is none.
     time_point fed_at_{};
--- a/gateway/knowledge_news.cpp
+++ b/gateway/knowledge_news.cpp
@@ -117,6 +117,10 @@
     if (session == nullptr) {
         return;
     }
+    if (wanted.topics.empty()) {
+        audience_.erase(from);
+        return;
+    }
     // A candidate gets news at first hand from whoever reads; it only catches up here.
     bool stays = !session->is_candidate;
     for (const auto& [it, end] : wanted.topics) {
@@ -155,6 +159,7 @@
     bool is_taken = news.is_whole
                         ? copy.accept_whole(news.end, news.records, news.age)
                         : copy.accept(news.from, news.end, news.records, news.age, news.is_reload);
+    progress_.on_progress(index(news.topic), copy.end());
     if (is_taken) {
         if (news.topic == shared_topic::servers) {
             for (const auto& [key, value] : news.records) {
@@ -168,6 +173,10 @@
         }
         return;
     }
+    if (!fleet_.is_member() && source_ && *source_ != from) {
+        // The rest of the news of an earlier source; the present one sends what is missing.
+        return;
+    }
     bool lacks_earlier = !was_loaded || news.from > before || (news.is_reload && news.end > before);
     if (lacks_earlier && now >= next_catch_up_[index(news.topic)]) {
         next_catch_up_[index(news.topic)] = now + catch_up_interval;
@@ -190,6 +199,26 @@
     }
 }
 
+auto knowledge::on_progress_query(admission_source from) -> void
+{
+    progress_report report;
+    for (auto it : {shared_topic::servers, shared_topic::operators, shared_topic::own}) {
+        if (topic(it).is_loaded()) {
+            report.ends.emplace_back(it, topic(it).end());
+        }
+    }
+    mesh_.answer(from, report);
+}
+
+auto knowledge::on_progress(const instance_id& from, const progress_report& report) -> void
+{
+    for (const auto& [it, end] : report.ends) {
+        if (topic(it).is_loaded()) {
+            progress_.on_report(from, index(it), end, topic(it).end(), loop_.now());
+        }
+    }
+}
+
 auto knowledge::to_audience(const peer_message& message) -> void
 {
     if (audience_.empty()) {
--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -128,6 +128,15 @@
     auto operator()(const audience_report& it) -> void { fields(it.instances); }
     auto operator()(const peer_ping&) -> void { fields(); }
     auto operator()(const peer_pong&) -> void { fields(); }
+    auto operator()(const progress_query&) -> void { fields(); }
+    auto operator()(const progress_report& it) -> void
+    {
+        std::vector<std::pair<std::uint8_t, std::uint64_t>> ends;
+        for (const auto& [topic, end] : it.ends) {
+            ends.emplace_back(static_cast<std::uint8_t>(topic), end.value());
+        }
+        fields(ends);
+    }
 };
 
 /// Reads the fields of one message in order; throws `msgpack::type_error` on another shape.
@@ -337,6 +346,18 @@
     return {from.next<std::uint32_t>()};
 }
 
+auto read_progress(reader& from) -> progress_report
+{
+    progress_report out;
+    for (auto& [topic, end] : from.next<std::vector<std::pair<std::uint8_t, std::uint64_t>>>()) {
+        if (topic > most_topic) {
+            throw msgpack::type_error{};
+        }
+        out.ends.emplace_back(static_cast<shared_topic>(topic), log_offset{end});
+    }
+    return out;
+}
+
 /// By the index of the type in `peer_message`, which is the kind on the wire.
 constexpr std::array<read_function, std::variant_size_v<peer_message>> readers{
     read_as<read_hello>,
@@ -359,6 +380,8 @@
     read_as<read_audience>,
     read_empty<peer_ping>,
     read_empty<peer_pong>,
+    read_empty<progress_query>,
+    read_as<read_progress>,
 };
 
 auto read_message(const msgpack::object& object) -> peer_message
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -138,7 +138,8 @@
 
 /// Asks for the news of topics from now on.
 struct news_subscription {
-    /// End of the sender's copy of each topic that it wants; none when it has no copy.
+    /// End of the sender's copy of each topic that it wants; none when it has no copy. No topics:
+    /// the sender wants no more news.
     std::vector<std::pair<shared_topic, std::optional<log_offset>>> topics;
 };
 
@@ -158,12 +159,20 @@
 struct peer_ping {};
 struct peer_pong {};
 
+/// Asks how far the receiver's copies of the topics reach.
+struct progress_query {};
+
+/// The answer: where the sender's copies end; topics that it has no copy of are left out.
+struct progress_report {
+    std::vector<std::pair<shared_topic, log_offset>> ends;
+};
+
 using peer_message =
     std::variant<peer_hello, admission_query, admission_adopted, admission_withdrawn,
                  admission_completed, key_not_held, server_ended, server_leaving, admission_answer,
                  admission_declined, peer_leaving, role_superseded, role_stopped, topic_news,
-                 news_subscription, news_pause, fleet_status, audience_report, peer_ping,
-                 peer_pong>;
+                 news_subscription, news_pause, fleet_status, audience_report, peer_ping, peer_pong,
+                 progress_query, progress_report>;
 
 /// Appends the message with its length to `out`.
 auto encode_peer_message(std::string& out, const peer_message& message) -> void;
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -49,10 +49,12 @@
     encode_peer_message(bytes, news_subscription{{{shared_topic::own, std::nullopt},
                                                   {shared_topic::servers, log_offset{12}}}});
     encode_peer_message(bytes, fleet_status{295});
+    encode_peer_message(bytes, progress_query{});
+    encode_peer_message(bytes, progress_report{{{shared_topic::operators, log_offset{41}}}});
     auto read = decode_peer_messages(bytes);
     BOOST_REQUIRE(read.has_value());
     const auto& all = read.value();
-    BOOST_REQUIRE(all.size() == 9U);
+    BOOST_REQUIRE(all.size() == 11U);
     BOOST_TEST((std::get<peer_hello>(all[0]).sender == sender));
     const auto& back = std::get<admission_query>(all[1]);
     BOOST_TEST((back.service == service));
@@ -83,6 +85,9 @@
     BOOST_TEST(!wanted.topics.at(0).second.has_value());
     BOOST_TEST(wanted.topics.at(1).second->value() == 12U);
     BOOST_TEST(std::get<fleet_status>(all[8]).instances == 295U);
+    BOOST_TEST(std::holds_alternative<progress_query>(all[9]));
+    const auto& progress = std::get<progress_report>(all[10]);
+    BOOST_TEST((progress.ends.at(0) == std::pair{shared_topic::operators, log_offset{41}}));
     BOOST_TEST(bytes.empty());
 }
 
