Send what has changed of large records between instances

Cause: each version of the configuration went in full to every instance. With 1,100 routes that is 213 KB, a sixth of a second of a small machine's whole link of 10 Mbit/s, and a change of the source sent versions again. An instance that had been slow worked off one version after the other, three to six seconds behind, also when it was not slow any more.

Now records of 4 KB and more are compressed by zstd with the value that the largest one replaces as its base, named by a hash, so that a changed route costs a few hundred bytes (news_packing, adapters/zstd).

Ruled out: dropping versions that have been replaced from a sender's queue. It helps only where messages are large, and now they are not; not tried.

--- a/gateway/knowledge.h
+++ b/gateway/knowledge.h
@@ -97,6 +97,7 @@
     auto on_candidates(const changes& records) -> void;
     auto on_own_read(shared_topic it, const changes& records, log_offset from, log_offset end,
                      bool is_reload) -> void;
+    static auto accept(store_topic& copy, const topic_news& news) -> bool;
     auto pass_on(topic_news news) -> void;
     auto send_whole(admission_source to, shared_topic it) -> void;
     /// Sends what the receiver lacks after `end`. Returns false when that is not known any more.
--- a/gateway/knowledge_news.cpp
+++ b/gateway/knowledge_news.cpp
@@ -1,4 +1,5 @@
 #include "gateway/knowledge.h"
+#include "gateway/news_packing.h"
 
 #include "platform/discovery_codec.h"
 
@@ -44,6 +45,10 @@
         news.records.emplace_back(record.key, record.value);
     }
     news.is_first_hand = true;
+    pack_news(news, [&](const std::string& key) -> const std::string* {
+        auto found = std::ranges::find(records, key, &store_topic::change::key);
+        return found == records.end() ? nullptr : &found->previous;
+    });
     mesh_.to_candidates(news);
     pass_on(std::move(news));
 }
@@ -81,6 +86,7 @@
     news.age = age(it);
     news.is_whole = true;
     news.records = from.all();
+    pack_news(news, {});
     mesh_.answer(to, news);
     if (auto found = audience_.find(to); found != audience_.end()) {
         found->second.is_in_step[index(it)] = true;
@@ -106,6 +112,7 @@
         news.age = age(it);
         news.is_reload = next->is_reload;
         news.records = next->records;
+        pack_news(news, {});
         mesh_.answer(to, news);
     }
     return true;
@@ -141,6 +148,12 @@
     }
 }
 
+auto knowledge::accept(store_topic& copy, const topic_news& news) -> bool
+{
+    return news.is_whole ? copy.accept_whole(news.end, news.records, news.age)
+                         : copy.accept(news.from, news.end, news.records, news.age, news.is_reload);
+}
+
 auto knowledge::on_news(const instance_id& from, topic_news news) -> void
 {
     auto now = loop_.now();
@@ -156,9 +169,11 @@
     auto before = copy.end();
     bool was_loaded = copy.is_loaded();
     told_by_[index(news.topic)] = from;
-    bool is_taken = news.is_whole
-                        ? copy.accept_whole(news.end, news.records, news.age)
-                        : copy.accept(news.from, news.end, news.records, news.age, news.is_reload);
+    auto unpacked = unpack_news(news, [&](const std::string& key) -> const std::string* {
+        auto found = copy.records().find(key);
+        return found == copy.records().end() ? nullptr : &found->second;
+    });
+    bool is_taken = unpacked.has_value() && accept(copy, news);
     progress_.on_progress(index(news.topic), copy.end());
     if (is_taken) {
         if (news.topic == shared_topic::servers) {
@@ -177,7 +192,9 @@
         // The rest of the news of an earlier source; the present one sends what is missing.
         return;
     }
-    bool lacks_earlier = !was_loaded || news.from > before || (news.is_reload && news.end > before);
+    bool has_other_base = unpacked.has_error() && news.end > before;
+    bool lacks_earlier = !was_loaded || news.from > before || has_other_base ||
+                         (news.is_reload && news.end > before);
     if (lacks_earlier && now >= next_catch_up_[index(news.topic)]) {
         next_catch_up_[index(news.topic)] = now + catch_up_interval;
         news_subscription wanted;
--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -18,6 +18,7 @@
 /// First key, last key, owner, incarnation, age of the confirmation and time until free in us.
 using packed_range =
     std::tuple<std::uint16_t, std::uint16_t, std::string, std::int64_t, std::int64_t, std::int64_t>;
+const decltype(topic_news::records) no_records;
 constexpr auto most_topic = static_cast<std::uint8_t>(shared_topic::candidates);
 
 auto to_us(duration it) -> std::int64_t
@@ -112,7 +113,9 @@
     auto operator()(const topic_news& it) -> void
     {
         fields(static_cast<std::uint8_t>(it.topic), it.from.value(), it.end.value(), to_us(it.age),
-               it.is_first_hand, it.is_whole, it.is_reload, it.records);
+               it.is_first_hand, it.is_whole, it.is_reload,
+               it.packed.bytes.empty() ? it.records : no_records, it.packed.bytes,
+               it.packed.base_key, it.packed.base_hash);
     }
     auto operator()(const news_subscription& it) -> void
     {
@@ -305,6 +308,9 @@
     out.is_whole = from.next<bool>();
     out.is_reload = from.next<bool>();
     out.records = from.next<std::vector<std::pair<std::string, std::string>>>();
+    out.packed.bytes = from.next<std::string>();
+    out.packed.base_key = from.next<std::string>();
+    out.packed.base_hash = from.next<std::uint64_t>();
     return out;
 }
 
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -117,6 +117,16 @@
 /// Topics whose records one instance reads for others.
 enum class shared_topic : std::uint8_t { servers, operators, own, candidates };
 
+/// Compressed records.
+struct packed_records {
+    /// Empty when the records are sent as they are.
+    std::string bytes;
+    /// Key whose value in the receiver's copy is needed to read them, and the hash of that value;
+    /// empty when none is.
+    std::string base_key;
+    std::uint64_t base_hash{0};
+};
+
 /// Records of a topic that an instance has read, and how old that is.
 struct topic_news {
     shared_topic topic{shared_topic::servers};
@@ -134,6 +144,8 @@
     bool is_reload{false};
     /// Newest value of each key that changed; an empty value removes it.
     std::vector<std::pair<std::string, std::string>> records;
+    /// Sent in place of the records when it is not empty.
+    packed_records packed;
 };
 
 /// Asks for the news of topics from now on.
--- a/gateway/store_topic.cpp
+++ b/gateway/store_topic.cpp
@@ -140,15 +140,17 @@
     -> std::vector<change>
 {
     std::vector<change> out;
-    for (const auto& [key, value] : records_) {
+    for (auto& [key, value] : records_) {
         if (!records.contains(key)) {
-            out.push_back({key, {}});
+            out.push_back({key, {}, std::move(value)});
         }
     }
     for (const auto& [key, value] : records) {
         auto known = records_.find(key);
-        if (known == records_.end() || known->second != value) {
-            out.push_back({key, value});
+        if (known == records_.end()) {
+            out.push_back({key, value, {}});
+        } else if (known->second != value) {
+            out.push_back({key, value, std::move(known->second)});
         }
     }
     records_ = std::move(records);
@@ -193,14 +195,23 @@
 {
     std::vector<change> out;
     for (const auto& it : records) {
+        auto known = records_.find(it.key);
+        change next{it.key, it.value, {}};
+        if (known != records_.end()) {
+            next.previous = std::move(known->second);
+        }
         if (it.value.empty()) {
             records_.erase(it.key);
         } else {
             records_.insert_or_assign(it.key, it.value);
         }
-        // Only the newest record of a key matters.
-        std::erase_if(out, [&](const auto& earlier) { return earlier.key == it.key; });
-        out.push_back({it.key, it.value});
+        // Only the newest record of a key matters, and what it had before all of them.
+        auto earlier = std::ranges::find(out, it.key, &change::key);
+        if (earlier != out.end()) {
+            next.previous = std::move(earlier->previous);
+            out.erase(earlier);
+        }
+        out.push_back(std::move(next));
     }
     return out;
 }
--- a/gateway/store_topic.h
+++ b/gateway/store_topic.h
@@ -41,6 +41,8 @@
         std::string key;
         /// Empty when the key was removed.
         std::string value;
+        /// Empty when the key is new.
+        std::string previous;
     };
     struct hooks {
         /// Called with what changed, perhaps nothing, after each answered read. `proof` is a time
