Deal keys for the first time when two reads have found no new server

The first coordinator dealt all keys 0.7 s after the last newcomer, which is hardly longer than the pace of reads, so it happened that the two servers of the first read got all. Without traffic nothing shows that, and with traffic it takes seconds to spread.

Now no server must have joined for 1.5 s, which is more than two reads, and the wait ends 4 s after the first server at the latest, so that servers that join all the time hold nothing back (ownership/arrival_wait, no network). It applies only while no key has an owner. Ruled out: spreading idle keys afterwards; each change of hands is priced, and the first grant is free.

Test: a_wait_for_servers names the pattern; with the earlier wait of 0.7 s its first case fails (reads 0.75 s apart).

--- a/gateway/range_coordinator.cpp
+++ b/gateway/range_coordinator.cpp
@@ -15,9 +15,6 @@
 constexpr duration plan_interval = milliseconds{200};
 /// Age at which a request counts 1/e: short, so that newly busy keys show within a second.
 constexpr duration heat_time_constant = milliseconds{1200};
-/// A service's first owners are chosen when no server has joined for this long, so that the first
-/// ones do not get all keys.
-constexpr duration settle_time = milliseconds{700};
 /// Failures in a row after which a server gets no keys, and for how long.
 constexpr std::uint32_t failing_after = 2;
 constexpr duration failing_time = std::chrono::seconds{3};
@@ -215,10 +212,7 @@
     for (const auto* it : directory_.of_service(service_)) {
         servers.push_back({it->entry.id, it->entry.incarnation.value()});
     }
-    if (servers.size() != servers_seen_) {
-        servers_seen_ = servers.size();
-        servers_seen_at_ = now;
-    }
+    arrivals_.on_list(servers.size(), now);
     authority_.set_servers(servers, now);
     std::erase_if(health_, [&](const auto& it) { return directory_.find(it.first) == nullptr; });
 }
@@ -252,7 +246,7 @@
         ranges.push_back(std::move(range));
     }
     bool is_first = std::ranges::all_of(ranges, [](const auto& it) { return !it.owner; });
-    if (is_first && now < servers_seen_at_ + settle_time) {
+    if (is_first && !arrivals_.is_over(now)) {
         return;
     }
     for (const auto& it : planner_.plan(servers, ranges, heat_, now)) {
--- a/gateway/range_coordinator.h
+++ b/gateway/range_coordinator.h
@@ -2,6 +2,7 @@
 
 #include "gateway/backend_directory.h"
 #include "gateway/unary_client.h"
+#include "ownership/arrival_wait.h"
 #include "ownership/range_authority.h"
 #include "routing/key_heat.h"
 #include "routing/range_planner.h"
@@ -89,8 +90,7 @@
     range_planner planner_;
     key_heat heat_;
     time_point next_plan_{};
-    time_point servers_seen_at_{};
-    std::size_t servers_seen_{0};
+    arrival_wait arrivals_;
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
 
