Decode, log and count the request rates that servers name

platform/ decodes Server-Limit; a malformed or repeated one is logged and changes nothing. The limit goes to the coordinator with the report of each attempt. server_rate_limit orders what responses say: only a response whose request was admitted after the last one had arrived raises or ends a limit. A change is logged (server-limit, with the instance that received it), each request line shows the limit, its age and its source as they were when the request was admitted, and metrics count limited servers, the sum of their limits and the requests sent to them. Nothing acts on the limit yet.

Instances of earlier versions ignore the new fields of peer messages, and their shorter messages are still read.

--- a/gateway/caller_exchange.cpp
+++ b/gateway/caller_exchange.cpp
@@ -161,6 +161,7 @@
 auto caller_exchange::send(const server_id& server) -> void
 {
     server_ = server;
+    rate_limit_.reset();
     const auto* server_record = services_.directory.find(server);
     phase_ = phase::sending;
     if (server_record == nullptr) {
@@ -253,6 +254,9 @@
     out.outcome = outcome;
     out.service_time = service_time_;
     out.hold_off = response_info_.hold_off;
+    if (rate_limit_) {
+        out.rate_limit = rate_limit_notice{rate_limit_->limit, services_.loop.now() - answered_at_};
+    }
     if (response_info_.load) {
         out.reported_running = response_info_.load->running;
         out.reported_waiting = response_info_.load->waiting;
@@ -273,6 +277,7 @@
     services_.directory.on_hold_off(server_, info.hold_off, services_.loop.now());
     is_discarding_ = info.is_not_run;
     if (is_discarding_) {
+        note_rate_limit(info);
         return;
     }
     bool is_success = response_.status >= 200 && response_.status < 300;
@@ -284,12 +289,31 @@
                    "response is encoded or lacks the server's request id or seal");
         return;
     }
+    note_rate_limit(info);
     phase_ = phase::responding;
     if (response_.framing == body_framing::length && response_.length > max_buffered_response) {
         commit_response();
     }
 }
 
+auto caller_exchange::note_rate_limit(const server_response_info& info) -> void
+{
+    if (info.has_malformed_rate_limit) {
+        services_.log.request_line("server-limit-malformed")
+            .text("id", info_.id)
+            .text("server", server_.value());
+        return;
+    }
+    if (info.server && *info.server != server_) {
+        return;
+    }
+    answered_at_ = services_.loop.now();
+    rate_limit_ = rate_limit_notice{};
+    if (info.rate_limit) {
+        rate_limit_->limit = request_rate{*info.rate_limit};
+    }
+}
+
 auto caller_exchange::commit_response() -> void
 {
     if (is_committed_) {
@@ -584,6 +608,11 @@
             line.ms("expected_wait_ms", decision_.expected_wait)
                 .ms("retry_after_ms", decision_.retry_after);
         }
+        if (decision_.rate_limit) {
+            line.decimal("server_limit", decision_.rate_limit->limit.per_second)
+                .ms("server_limit_age_ms", decision_.rate_limit->age)
+                .text("server_limit_from", decision_.rate_limit->reported_by.value());
+        }
         if (expected_cold_time_ > duration::zero()) {
             line.ms("server_cold_ms", expected_cold_time_);
         }
--- a/gateway/caller_exchange.h
+++ b/gateway/caller_exchange.h
@@ -85,6 +85,8 @@
     /// retries.
     auto withhold_attempt(time_point now) -> void;
     auto on_head(http1_head head, const server_response_info& info) -> void;
+    /// Keeps what a valid response says about the server's rate limit for the attempt's report.
+    auto note_rate_limit(const server_response_info& info) -> void;
     auto on_body(std::string_view bytes) -> void;
     auto on_end() -> void;
     auto on_failure(attempt_outcome outcome, bool was_reused, std::string_view cause) -> void;
@@ -138,6 +140,10 @@
     duration expected_cold_time_{0};
     std::shared_ptr<server_attempt> attempt_;
     time_point sent_at_{};
+    /// When the head of the response arrived.
+    time_point answered_at_{};
+    /// What the response said about the server's rate limit.
+    std::optional<rate_limit_notice> rate_limit_;
     /// Total time that the request waited for admission.
     duration queue_time_{0};
     /// Last decision of a scheduler, for the log.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -203,6 +203,15 @@
         metrics_.set("ownership_writes_total", static_cast<double>(ownership_.writes()));
         metrics_.set("log_lines_total", static_cast<double>(log_.written()));
         metrics_.set("log_lines_dropped_total", static_cast<double>(log_.dropped()));
+        std::size_t limited = 0;
+        double limit = 0;
+        for (const auto& [name, service] : runtimes_) {
+            auto [servers, sum] = service->scheduler().rate_limits();
+            limited += servers;
+            limit += sum.per_second;
+        }
+        metrics_.set("limited_servers", static_cast<double>(limited));
+        metrics_.set("limited_servers_requests_per_second", limit);
         return {200, metrics_.text()};
     }
     if (path == readiness_path()) {
--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -32,6 +32,19 @@
     return std::chrono::microseconds{us};
 }
 
+/// A rate in requests per second for which there is no limit.
+constexpr double no_limit = -1.0;
+
+auto pack_limit(const std::optional<request_rate>& limit) -> double
+{
+    return limit ? limit->per_second : no_limit;
+}
+
+auto unpack_limit(double value) -> std::optional<request_rate>
+{
+    return value >= 0 ? std::optional{request_rate{value}} : std::nullopt;
+}
+
 struct writer {
     packer& out;
 
@@ -71,9 +84,11 @@
     }
     auto operator()(const admission_completed& it) -> void
     {
+        auto notice = it.report.rate_limit.value_or(rate_limit_notice{});
         fields(it.service.value(), it.id.value(), static_cast<std::uint8_t>(it.report.outcome),
                to_us(it.report.service_time), it.report.reported_running,
-               it.report.reported_waiting, it.report.slowness_percent, to_us(it.report.hold_off));
+               it.report.reported_waiting, it.report.slowness_percent, to_us(it.report.hold_off),
+               it.report.rate_limit.has_value(), pack_limit(notice.limit), to_us(notice.age));
     }
     auto operator()(const key_not_held& it) -> void
     {
@@ -89,9 +104,11 @@
     }
     auto operator()(const admission_answer& it) -> void
     {
+        auto limit = it.rate_limit.value_or(applied_rate_limit{{no_limit}, {}, {}});
         fields(it.service.value(), it.id.value(), static_cast<std::uint8_t>(it.outcome),
                it.server.value(), static_cast<std::uint8_t>(it.cause), to_us(it.retry_after),
-               it.queue_length, to_us(it.expected_wait));
+               it.queue_length, to_us(it.expected_wait), limit.limit.per_second, to_us(limit.age),
+               limit.reported_by.value());
     }
     auto operator()(const admission_declined& it) -> void
     {
@@ -173,6 +190,8 @@
         return static_cast<type>(value);
     }
     auto time() -> duration { return from_us(next<std::int64_t>()); }
+    /// Whether there are more fields. Instances of earlier versions send fewer.
+    auto has_more() const -> bool { return position_ < from_.size; }
 
 private:
     const msgpack::object_array& from_;
@@ -240,6 +259,12 @@
     out.report.reported_waiting = from.next<std::uint32_t>();
     out.report.slowness_percent = from.next<std::uint32_t>();
     out.report.hold_off = from.time();
+    if (from.has_more()) {
+        bool is_known = from.next<bool>();
+        rate_limit_notice notice{unpack_limit(from.next<double>()), {}};
+        notice.age = from.time();
+        out.report.rate_limit = is_known ? std::optional{notice} : std::nullopt;
+    }
     return out;
 }
 
@@ -271,6 +296,14 @@
     out.retry_after = from.time();
     out.queue_length = from.next<std::uint32_t>();
     out.expected_wait = from.time();
+    if (from.has_more()) {
+        auto limit = unpack_limit(from.next<double>());
+        auto age = from.time();
+        auto reporter = from.id<instance_id>();
+        if (limit) {
+            out.rate_limit = applied_rate_limit{*limit, age, std::move(reporter)};
+        }
+    }
     return out;
 }
 
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -86,6 +86,8 @@
     duration retry_after{0};
     std::uint32_t queue_length{0};
     duration expected_wait{0};
+    /// See `admission_decision`.
+    std::optional<applied_rate_limit> rate_limit;
 };
 
 /// The sender does not admit requests of the service.
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -25,6 +25,16 @@
       role_{context.settings.node, context.boot}
 {
     scheduler_.set_owner_lookup([this](std::uint16_t key) { return find_owner(key); });
+    scheduler_.set_source_name([this](admission_source source) {
+        const auto* session = context_.mesh.find(source);
+        return source == local_source ? context_.settings.node
+               : session != nullptr   ? session->sender.id
+                                      : instance_id{};
+    });
+    scheduler_.set_rate_limit_callback(
+        [this](const server_id& server, const std::optional<applied_rate_limit>& limit) {
+            log_rate_limit(server, limit);
+        });
     configure(service_);
 }
 
@@ -33,6 +43,19 @@
     *alive_ = false;
 }
 
+auto service_runtime::log_rate_limit(const server_id& server,
+                                     const std::optional<applied_rate_limit>& limit) -> void
+{
+    context_.metrics.count("server_limit_changes_total");
+    auto line = context_.log.line("server-limit");
+    line.text("service", service_.name.value()).text("server", server.value());
+    line.text("state", limit ? "limited" : "ended");
+    if (limit) {
+        line.decimal("per_second", limit->limit.per_second)
+            .text("reported_by", limit->reported_by.value());
+    }
+}
+
 auto service_runtime::make_admission_settings() const -> admission_settings
 {
     admission_settings out;
@@ -179,8 +202,9 @@
     decision.expected_wait = answer.expected_wait;
     decision.decided_by = from;
     decision.queue_time = now - it->second.request.received;
+    decision.rate_limit = answer.rate_limit;
     if (answer.outcome == admission_outcome::send) {
-        scheduler_.adopt(local_source, answer.id, answer.server, it->second.request.work, now);
+        scheduler_.adopt(local_source, answer.id, answer.server, it->second.request.work, now, now);
     }
     resolve(answer.id, decision);
 }
@@ -200,15 +224,19 @@
 {
     if (decision.outcome == admission_outcome::send) {
         last_sent_[decision.server] = context_.time.now();
+        if (decision.rate_limit) {
+            context_.metrics.count("limited_server_requests_total");
+        }
     }
     if (decision.source == local_source) {
         resolve(decision.id, decision);
         return;
     }
-    context_.mesh.send_to_session(
-        decision.source, admission_answer{service_.name, decision.id, decision.outcome,
-                                          decision.server, decision.cause, decision.retry_after,
-                                          decision.queue_length, decision.expected_wait});
+    context_.mesh.send_to_session(decision.source,
+                                  admission_answer{service_.name, decision.id, decision.outcome,
+                                                   decision.server, decision.cause,
+                                                   decision.retry_after, decision.queue_length,
+                                                   decision.expected_wait, decision.rate_limit});
 }
 
 auto service_runtime::resolve(admission_id id, const admission_decision& decision) -> void
@@ -334,7 +362,7 @@
     if (const auto* query = std::get_if<admission_query>(&message)) {
         on_query(source, *query);
     } else if (const auto* adopted = std::get_if<admission_adopted>(&message)) {
-        scheduler_.adopt(source, adopted->id, adopted->server, work_class{0}, now);
+        scheduler_.adopt(source, adopted->id, adopted->server, work_class{0}, time_point{}, now);
     } else if (const auto* withdrawn = std::get_if<admission_withdrawn>(&message)) {
         scheduler_.withdraw(source, withdrawn->id);
     } else if (const auto* completed = std::get_if<admission_completed>(&message)) {
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -110,6 +110,7 @@
     /// Key of the coordinator record in the store.
     auto key() const -> std::string { return "service/" + service_.name.value(); }
     auto name() const -> const service_id& { return service_.name; }
+    auto scheduler() const -> const admission_scheduler& { return scheduler_; }
     auto service() const -> const gateway_service& { return service_; }
 
 private:
@@ -124,6 +125,8 @@
     };
 
     auto make_admission_settings() const -> admission_settings;
+    auto log_rate_limit(const server_id& server, const std::optional<applied_rate_limit>& limit)
+        -> void;
     auto on_decision(const admission_decision& decision) -> void;
     auto resolve(admission_id id, const admission_decision& decision) -> void;
     auto find_owner(std::uint16_t key) const -> key_owner;
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -152,7 +152,8 @@
     server.cold_sends.push_back(now);
     server.cold_rate_limiter.on_act(now);
     running_.insert_or_assign({request.source, request.id},
-                              running_request{server.info.id, request.work, now, request.deadline});
+                              running_request{server.info.id, request.work, now, request.deadline,
+                                              server.info.incarnation});
     admission_decision decision;
     decision.source = request.source;
     decision.id = request.id;
@@ -161,6 +162,7 @@
     decision.queue_time = now - request.received;
     const auto* queue = find_queue(request);
     decision.queue_length = queue != nullptr ? static_cast<std::uint32_t>(queue->size()) : 0;
+    decision.rate_limit = applied_limit(server, now);
     on_decision_(decision);
 }
 
@@ -179,6 +181,9 @@
     decision.queue_time = now - request.received;
     decision.queue_length = queue != nullptr ? static_cast<std::uint32_t>(queue->size()) : 0;
     decision.expected_wait = expected_wait(request, now);
+    if (request.owner) {
+        decision.rate_limit = rate_limit(*request.owner, now);
+    }
     on_decision_(decision);
 }
 
@@ -326,7 +331,7 @@
 }
 
 auto admission_scheduler::adopt(admission_source source, admission_id id, const server_id& server,
-                                work_class work, time_point now) -> void
+                                work_class work, time_point admitted_at, time_point now) -> void
 {
     auto it = servers_.find(server);
     if (it == servers_.end() || running_.contains({source, id})) {
@@ -335,7 +340,8 @@
     ++it->second.in_flight;
     constexpr duration adopted_request_lifetime = std::chrono::seconds{3};
     running_.emplace(running_key{source, id},
-                     running_request{server, work, now, now + adopted_request_lifetime});
+                     running_request{server, work, admitted_at, now + adopted_request_lifetime,
+                                     it->second.info.incarnation});
 }
 
 auto admission_scheduler::complete(admission_source source, admission_id id,
@@ -354,6 +360,10 @@
     auto& state = server->second;
     state.in_flight -= std::min(1U, state.in_flight);
     update_estimates(state, run, report, now);
+    if (report.rate_limit) {
+        auto reporter = source_name_ ? source_name_(source) : instance_id{};
+        apply_rate_limit(state, run, *report.rate_limit, reporter, now);
+    }
     if (report.hold_off > duration::zero()) {
         auto& until = held_off_[{source, run.server}];
         until = std::max(until, now + report.hold_off);
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/random.h"
+#include "routing/server_rate_limit.h"
 #include "routing/shared_rate_limiter.h"
 
 #include <cstdint>
@@ -75,6 +76,15 @@
 /// Name of `cause` in logs and response bodies.
 auto to_string(refusal_cause cause) -> std::string_view;
 
+/// Rate limit of a server that was in force when a decision was made.
+struct applied_rate_limit {
+    request_rate limit;
+    /// Time since the last response that named it.
+    duration age{0};
+    /// Instance that received that response.
+    instance_id reported_by;
+};
+
 struct admission_decision {
     admission_source source;
     admission_id id;
@@ -90,6 +100,8 @@
     duration expected_wait{0};
     /// Instance that made the decision; empty if it was this one.
     instance_id decided_by;
+    /// Rate limit of the chosen server or, for a refused request, of the owner of its key.
+    std::optional<applied_rate_limit> rate_limit;
 };
 
 enum class attempt_outcome : std::uint8_t {
@@ -118,6 +130,9 @@
     std::uint32_t slowness_percent{0};
     /// The server asked the instance to send no requests for this long.
     duration hold_off{0};
+    /// What the response said about the server's rate limit; none if no response arrived or its
+    /// limit was malformed.
+    std::optional<rate_limit_notice> rate_limit;
 };
 
 /// Owner of a key.
@@ -148,6 +163,11 @@
 public:
     using owner_lookup_function = std::function<key_owner(std::uint16_t key)>;
     using decision_callback = std::function<void(const admission_decision&)>;
+    /// Receives a server whose rate limit has changed, and the new limit, if there is one.
+    using rate_limit_callback =
+        std::function<void(const server_id&, const std::optional<applied_rate_limit>&)>;
+    /// Returns the instance with number `source`, or an empty id if it has disconnected.
+    using source_name_function = std::function<instance_id(admission_source source)>;
 
     admission_scheduler(admission_settings settings, random_engine& random,
                         decision_callback on_decision);
@@ -158,15 +178,21 @@
     {
         owner_lookup_ = std::move(lookup);
     }
+    auto set_rate_limit_callback(rate_limit_callback on_change) -> void
+    {
+        on_rate_limit_change_ = std::move(on_change);
+    }
+    auto set_source_name(source_name_function name) -> void { source_name_ = std::move(name); }
     auto set_servers(const std::vector<schedulable_server>& servers, time_point now) -> void;
 
     /// May invoke the decision callback before it returns.
     auto submit(admission_request request, time_point now) -> void;
     /// Removes a request that its source no longer wants from the queue.
     auto withdraw(admission_source source, admission_id id) -> void;
-    /// Counts an in-flight request that another scheduler admitted earlier.
+    /// Counts an in-flight request that another scheduler admitted at `admitted_at`; zero if that
+    /// time is unknown.
     auto adopt(admission_source source, admission_id id, const server_id& server, work_class work,
-               time_point now) -> void;
+               time_point admitted_at, time_point now) -> void;
     auto complete(admission_source source, admission_id id, const attempt_report& report,
                   time_point now) -> void;
     /// Removes all requests and state of a disconnected source.
@@ -184,6 +210,11 @@
     auto backlogs() const -> std::map<server_id, std::size_t>;
     /// Number of in-flight requests of one server.
     auto running_on(const server_id& server) const -> std::size_t;
+    /// Rate limit of a server, if it has named one.
+    auto rate_limit(const server_id& server, time_point now) const
+        -> std::optional<applied_rate_limit>;
+    /// Number of servers that have a rate limit, and the sum of these limits.
+    auto rate_limits() const -> std::pair<std::size_t, request_rate>;
     /// Whether connections to the server failed recently and no heartbeat or response has been
     /// received since.
     auto is_suspect(const server_id& server) const -> bool;
@@ -192,8 +223,11 @@
     struct running_request {
         server_id server;
         work_class work;
+        /// Zero if another scheduler admitted the request.
         time_point started;
         time_point expires;
+        /// Process of the server when the request was admitted.
+        std::int64_t incarnation{0};
     };
     struct server_state {
         schedulable_server info;
@@ -216,6 +250,9 @@
         /// Limits this instance to its share of the cold server's limit while it schedules
         /// independently.
         shared_rate_limiter cold_rate_limiter;
+        server_rate_limit rate_limit;
+        /// Instance that received the last response that named the rate limit.
+        instance_id rate_limit_reporter;
     };
     using running_key = std::pair<admission_source, admission_id>;
     /// Requests that wait for the same servers, in the order in which they are sent.
@@ -285,11 +322,18 @@
     auto update_estimates(server_state& server, const running_request& run,
                           const attempt_report& report, time_point now) -> void;
     auto update_capacity() -> void;
+    auto apply_rate_limit(server_state& server, const running_request& run,
+                          const rate_limit_notice& notice, const instance_id& reporter,
+                          time_point now) -> void;
+    static auto applied_limit(const server_state& server, time_point now)
+        -> std::optional<applied_rate_limit>;
 
     admission_settings settings_;
     random_engine& random_;
     decision_callback on_decision_;
     owner_lookup_function owner_lookup_;
+    rate_limit_callback on_rate_limit_change_;
+    source_name_function source_name_;
     std::map<server_id, server_state> servers_;
     wait_queue shared_queue_;
     std::map<server_id, wait_queue> owner_queues_;
--- a/routing/admission_scheduler_servers.cpp
+++ b/routing/admission_scheduler_servers.cpp
@@ -271,6 +271,52 @@
     known->second += (is_first ? 0.5 : work_weight) * (observed_work_ms - known->second);
 }
 
+auto admission_scheduler::apply_rate_limit(server_state& server, const running_request& run,
+                                           const rate_limit_notice& notice,
+                                           const instance_id& reporter, time_point now) -> void
+{
+    if (run.incarnation != server.info.incarnation) {
+        return;
+    }
+    bool is_changed = server.rate_limit.on_notice(notice.limit, run.started, now - notice.age);
+    auto applied = server.rate_limit.status();
+    if (applied && applied->limit == notice.limit) {
+        server.rate_limit_reporter = reporter;
+    }
+    if (is_changed && on_rate_limit_change_) {
+        on_rate_limit_change_(server.info.id, applied_limit(server, now));
+    }
+}
+
+auto admission_scheduler::applied_limit(const server_state& server, time_point now)
+    -> std::optional<applied_rate_limit>
+{
+    auto status = server.rate_limit.status();
+    if (!status) {
+        return std::nullopt;
+    }
+    return applied_rate_limit{status->limit, now - status->answered_at, server.rate_limit_reporter};
+}
+
+auto admission_scheduler::rate_limit(const server_id& server, time_point now) const
+    -> std::optional<applied_rate_limit>
+{
+    auto it = servers_.find(server);
+    return it == servers_.end() ? std::nullopt : applied_limit(it->second, now);
+}
+
+auto admission_scheduler::rate_limits() const -> std::pair<std::size_t, request_rate>
+{
+    std::pair<std::size_t, request_rate> out{0, {}};
+    for (const auto& [id, server] : servers_) {
+        if (auto status = server.rate_limit.status()) {
+            ++out.first;
+            out.second.per_second += status->limit.per_second;
+        }
+    }
+    return out;
+}
+
 auto admission_scheduler::capacity(const server_id& server) const -> double
 {
     auto it = servers_.find(server);
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -23,7 +23,9 @@
     admission_answer answer{service,     admission_id{9},         admission_outcome::refuse,
                             server_id{}, refusal_cause::overload, milliseconds{120},
                             14,          milliseconds{300}};
+    answer.rate_limit = applied_rate_limit{{3.5}, milliseconds{40}, instance_id{"i7"}};
     attempt_report report{attempt_outcome::withheld, milliseconds{3}, 1, 2, 150, milliseconds{800}};
+    report.rate_limit = rate_limit_notice{request_rate{0}, milliseconds{6}};
     candidate sender{instance_id{"i1"}, zone_id{"z1"}, {"127.0.0.1", 7200}, 0.5};
     topic_update update;
     update.topic = shared_topic::candidates;
@@ -64,6 +66,10 @@
     const auto& refused = std::get<admission_answer>(all[2]);
     BOOST_TEST((refused.cause == refusal_cause::overload));
     BOOST_TEST(refused.queue_length == 14U);
+    BOOST_REQUIRE(refused.rate_limit.has_value());
+    BOOST_TEST(refused.rate_limit->limit.per_second == 3.5);
+    BOOST_TEST((refused.rate_limit->age == milliseconds{40}));
+    BOOST_TEST(refused.rate_limit->reported_by.value() == "i7");
     const auto& stopped = std::get<role_stopped>(all[3]);
     BOOST_TEST(stopped.term.value() == 3U);
     BOOST_TEST(stopped.last_term.value() == 2U);
@@ -81,6 +87,9 @@
     const auto& completed = std::get<admission_completed>(all[6]);
     BOOST_TEST((completed.report.outcome == attempt_outcome::withheld));
     BOOST_TEST((completed.report.hold_off == milliseconds{800}));
+    BOOST_REQUIRE(completed.report.rate_limit.has_value());
+    BOOST_TEST(completed.report.rate_limit->limit.value().per_second == 0.0);
+    BOOST_TEST((completed.report.rate_limit->age == milliseconds{6}));
     const auto& wanted = std::get<update_subscription>(all[7]);
     BOOST_TEST(!wanted.topics.at(0).second.has_value());
     BOOST_TEST(wanted.topics.at(1).second->value() == 12U);
@@ -91,6 +100,21 @@
     BOOST_TEST(bytes.empty());
 }
 
+// Guards against a response without a limit that is taken for one that says nothing about it.
+BOOST_AUTO_TEST_CASE(distinguish_a_response_without_a_limit_from_no_response)
+{
+    std::string bytes;
+    attempt_report report;
+    encode_peer_message(bytes, admission_completed{service_id{"s"}, admission_id{1}, report});
+    report.rate_limit = rate_limit_notice{};
+    encode_peer_message(bytes, admission_completed{service_id{"s"}, admission_id{2}, report});
+    auto all = decode_peer_messages(bytes).value();
+    BOOST_TEST(!std::get<admission_completed>(all[0]).report.rate_limit.has_value());
+    const auto& second = std::get<admission_completed>(all[1]).report.rate_limit;
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(!second->limit.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(wait_for_the_rest_of_a_message)
 {
     std::string bytes;
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -114,6 +114,34 @@
     BOOST_TEST(decode_server_response(head).has_announced_shutdown);
 }
 
+BOOST_AUTO_TEST_CASE(may_name_the_servers_rate_limit)
+{
+    auto decode = [](const std::vector<std::string>& values) {
+        http1_head head;
+        head.status = 200;
+        for (const auto& it : values) {
+            head.headers.push_back({"server-limit", it});
+        }
+        return decode_server_response(head);
+    };
+    BOOST_TEST(!decode({}).rate_limit.has_value());
+    BOOST_TEST(!decode({}).has_malformed_rate_limit);
+    BOOST_TEST(decode({"3.2"}).rate_limit.value() == 3.2);
+    BOOST_TEST(decode({"0"}).rate_limit.value() == 0.0);
+    BOOST_TEST(decode({"12"}).rate_limit.value() == 12.0);
+    // A malformed limit is neither a limit nor the end of an earlier one.
+    for (const auto* text :
+         {"", " ", "-1", "-0", "nan", "inf", "-inf", "1e400", "few", "3.2 a second", "0x10"}) {
+        BOOST_TEST(decode({text}).has_malformed_rate_limit, text);
+        BOOST_TEST(!decode({text}).rate_limit.has_value(), text);
+    }
+    for (const auto& twice : std::vector<std::vector<std::string>>{
+             {"3", "3"}, {"3", "4"}, {"3", "few"}, {"few", "3"}}) {
+        BOOST_TEST(decode(twice).has_malformed_rate_limit);
+        BOOST_TEST(!decode(twice).rate_limit.has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(sets_a_hold_off_by_retry_after_with_status_503)
 {
     auto hold_off = [](int status, const std::string& value) {
