Do not keep unused turns of a rate that instances share

Each instance that has lost its coordinator takes its own share of what a cold server tolerates: one request per interval, first at a random point. An instance without demand kept its turn. When demand then arose everywhere at the same moment (the coordinator is lost a second time while the server is still cold), all instances used their turns at once, so that the sum was far above the common rate.

--- a/routing/server_rate_limit.h
+++ b/routing/server_rate_limit.h
@@ -1,18 +1,12 @@
 #pragma once
 
 #include "core/clock.h"
+#include "routing/request_rate.h"
 
 #include <optional>
 
 namespace cornelswitch {
 
-/// Number of requests per second.
-struct request_rate {
-    double per_second{0};
-
-    friend auto operator<=>(const request_rate&, const request_rate&) = default;
-};
-
 /// What a response says about the rate limit of the server that made it.
 struct rate_limit_notice {
     /// Limit for the requests of all instances together; none if the response names no limit.
--- a/routing/shared_rate_limiter.cpp
+++ b/routing/shared_rate_limiter.cpp
@@ -1,26 +1,34 @@
 #include "routing/shared_rate_limiter.h"
 
-#include <chrono>
+#include <algorithm>
 
 namespace cornelswitch {
 
 auto shared_rate_limiter::may_act(time_point now, duration interval, random_engine& random) -> bool
 {
-    if (!began_) {
-        began_ = now;
-        phase_ = uniform_real(random);
+    return now >= next_turn(now, interval, random);
+}
+
+auto shared_rate_limiter::next_turn(time_point now, duration interval, random_engine& random)
+    -> time_point
+{
+    interval_ = std::max(interval, duration{1});
+    if (!next_turn_) {
+        auto wait = std::chrono::duration<double, duration::period>{interval_};
+        next_turn_ = now + std::chrono::duration_cast<duration>(wait * uniform_real(random));
     }
-    if (last_act_) {
-        return now >= *last_act_ + interval;
+    // The interval may have become shorter.
+    next_turn_ = std::min(*next_turn_, now + interval_);
+    if (auto unused = now - *next_turn_; unused >= turn_length) {
+        *next_turn_ += ((unused - turn_length) / interval_ + 1) * interval_;
     }
-    auto wait = std::chrono::duration<double, duration::period>{interval} * phase_;
-    return now >= *began_ + std::chrono::duration_cast<duration>(wait);
+    return *next_turn_;
 }
 
 auto shared_rate_limiter::on_act(time_point now) -> void
 {
-    if (began_) {
-        last_act_ = now;
+    if (next_turn_) {
+        next_turn_ = now + interval_;
     }
 }
 
