Send a server no more requests than the rate that it names

Callers saw nothing of the fault; a backend server that named a limit got up to three times as much, because admission was bounded by its slots alone and the planner counted on the capacity that its slots imply. So the cause is a number that a server names for all instances together and that no decision takes into account.

The coordinator, which admits for all instances, keeps one token bucket for each limited server: the whole limit, at most one second of it saved up, empty at its start. All instances that have lost contact with it share a quarter of the limit; a coordinator whose predecessor has not confirmed its end uses no more than that for 3 s. So the shares do not add up to more than one and a half times the limit. Health checks count. Instances report the limits that they know to a new coordinator. A limit below 0.25 requests a second is raised to that rate, since only responses end it. The planner takes the limit as capacity, so keys move away. A request that the limit leaves no time for is refused at once as `rate-limit`, with the time until those ahead of it are sent. A coordinator of a service without keys now accepts the confirmation of its predecessor.

--- a/gateway/caller_exchange.cpp
+++ b/gateway/caller_exchange.cpp
@@ -299,7 +299,7 @@
 auto caller_exchange::note_rate_limit(const server_response_info& info) -> void
 {
     if (info.has_malformed_rate_limit) {
-        services_.log.request_line("server-limit-malformed")
+        services_.log.request_line("rate-limit-malformed")
             .text("id", info_.id)
             .text("server", server_.value());
         return;
@@ -609,9 +609,9 @@
                 .ms("retry_after_ms", decision_.retry_after);
         }
         if (decision_.rate_limit) {
-            line.decimal("server_limit", decision_.rate_limit->limit.per_second)
-                .ms("server_limit_age_ms", decision_.rate_limit->age)
-                .text("server_limit_from", decision_.rate_limit->reported_by.value());
+            line.decimal("rate_limit", decision_.rate_limit->limit.per_second)
+                .ms("rate_limit_age_ms", decision_.rate_limit->age)
+                .text("rate_limit_from", decision_.rate_limit->reported_by.value());
         }
         if (expected_cold_time_ > duration::zero()) {
             line.ms("server_cold_ms", expected_cold_time_);
--- a/gateway/gateway_store.cpp
+++ b/gateway/gateway_store.cpp
@@ -253,7 +253,8 @@
     for (auto& [name, it] : runtimes_) {
         for (const auto& server : it->recently_used_servers(now)) {
             auto* client = it->health_path().empty() ? nullptr : health_client(server);
-            if (client == nullptr || directory_.notices().held_off_until(server, now)) {
+            if (client == nullptr || directory_.notices().held_off_until(server, now) ||
+                !it->try_take_request(server)) {
                 continue;
             }
             http_request request;
--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -114,6 +114,12 @@
     {
         fields(it.service.value(), it.id.value());
     }
+    auto operator()(const rate_limit_message& it) -> void
+    {
+        fields(it.service.value(), it.report.server.value(), it.report.incarnation,
+               it.report.limit.per_second, to_us(it.report.requested_age),
+               to_us(it.report.answered_age));
+    }
     auto operator()(const peer_shutting_down&) -> void { fields(); }
     auto operator()(const role_superseded& it) -> void
     {
@@ -292,7 +298,8 @@
     out.outcome =
         from.enumerator<admission_outcome>(static_cast<std::uint8_t>(admission_outcome::refuse));
     out.server = from.id<server_id>();
-    out.cause = from.enumerator<refusal_cause>(static_cast<std::uint8_t>(refusal_cause::expired));
+    out.cause =
+        from.enumerator<refusal_cause>(static_cast<std::uint8_t>(refusal_cause::rate_limit));
     out.retry_after = from.time();
     out.queue_length = from.next<std::uint32_t>();
     out.expected_wait = from.time();
@@ -307,6 +314,18 @@
     return out;
 }
 
+auto read_rate_limit(reader& from) -> rate_limit_message
+{
+    rate_limit_message out;
+    out.service = from.id<service_id>();
+    out.report.server = from.id<server_id>();
+    out.report.incarnation = from.next<std::int64_t>();
+    out.report.limit.per_second = from.next<double>();
+    out.report.requested_age = from.time();
+    out.report.answered_age = from.time();
+    return out;
+}
+
 auto read_superseded(reader& from) -> role_superseded
 {
     auto service = from.id<service_id>();
@@ -424,6 +443,7 @@
     read_empty<peer_pong>,
     read_empty<progress_query>,
     read_as<read_progress>,
+    read_as<read_rate_limit>,
 };
 
 auto read_message(const msgpack::object& object) -> peer_message
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -99,6 +99,12 @@
 /// The sender is shutting down and admits no more requests.
 struct peer_shutting_down {};
 
+/// Reports the rate limit of a server to a coordinator that may not know it.
+struct rate_limit_message {
+    service_id service;
+    server_rate_limit_report report;
+};
+
 /// A new coordinator asks the old one to stop.
 struct role_superseded {
     service_id service;
@@ -186,7 +192,8 @@
                  admission_completed, key_not_held, server_ended, server_leaving, admission_answer,
                  admission_declined, peer_shutting_down, role_superseded, role_stopped,
                  topic_update, update_subscription, subscription_keepalive, fleet_status,
-                 subscriber_count_report, peer_ping, peer_pong, progress_query, progress_report>;
+                 subscriber_count_report, peer_ping, peer_pong, progress_query, progress_report,
+                 rate_limit_message>;
 
 /// Appends the message with its length to `out`.
 auto encode_peer_message(std::string& out, const peer_message& message) -> void;
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -11,6 +11,8 @@
 
 /// Time during which an instance that declined a request is not asked again.
 constexpr duration declined_retry_delay = milliseconds{400};
+/// After this time no instance asks a previous coordinator any more, unless it is cut off.
+constexpr duration max_predecessor_time = std::chrono::seconds{3};
 /// A server without a request for this time needs no health check.
 constexpr duration recent_use_window = std::chrono::seconds{1};
 constexpr admission_source local_source{0};
@@ -46,8 +48,8 @@
 auto service_runtime::log_rate_limit(const server_id& server,
                                      const std::optional<applied_rate_limit>& limit) -> void
 {
-    context_.metrics.count("server_limit_changes_total");
-    auto line = context_.log.line("server-limit");
+    context_.metrics.count("rate_limit_changes_total");
+    auto line = context_.log.line("rate-limit");
     line.text("service", service_.name.value()).text("server", server.value());
     line.text("state", limit ? "limited" : "ended");
     if (limit) {
@@ -56,10 +58,17 @@
     }
 }
 
+auto service_runtime::may_have_predecessor(time_point now) const -> bool
+{
+    return role_.is_held() && !is_predecessor_stopped_ &&
+           now < coordinator_since_ + max_predecessor_time;
+}
+
 auto service_runtime::make_admission_settings() const -> admission_settings
 {
     admission_settings out;
     out.is_coordinator = role_.is_held();
+    out.may_have_predecessor = may_have_predecessor(context_.time.now());
     out.is_keyed = service_.is_keyed;
     out.instances = context_.instances();
     out.cold_limit =
@@ -70,7 +79,7 @@
 auto service_runtime::configure(const gateway_service& service) -> void
 {
     service_ = service;
-    scheduler_.configure(make_admission_settings());
+    scheduler_.configure(make_admission_settings(), context_.time.now());
     budget_.configure({context_.settings.retry_ratio, context_.settings.retry_budget_burst,
                        context_.instances(), context_.settings.retry_window});
 }
@@ -113,6 +122,9 @@
         ranges_->tick(now, scheduler_);
         record_ranges(now);
     }
+    if (scheduler_.settings().may_have_predecessor != may_have_predecessor(now)) {
+        scheduler_.configure(make_admission_settings(), now);
+    }
     scheduler_.tick(now);
 }
 
@@ -148,6 +160,9 @@
         context_.mesh.send(node,
                            admission_adopted{service_.name, admission_id{id}, admitted.server});
     }
+    for (auto& report : scheduler_.known_rate_limits(context_.time.now())) {
+        context_.mesh.send(node, rate_limit_message{service_.name, std::move(report)});
+    }
 }
 
 auto service_runtime::reclaim_requests(const instance_id& node) -> void
@@ -220,6 +235,11 @@
     return out;
 }
 
+auto service_runtime::try_take_request(const server_id& server) -> bool
+{
+    return scheduler_.try_take_request(server, context_.time.now());
+}
+
 auto service_runtime::on_decision(const admission_decision& decision) -> void
 {
     if (decision.outcome == admission_outcome::send) {
@@ -344,6 +364,12 @@
         context_.on_leaving(leaving->server, leaving->incarnation);
         return;
     }
+    if (const auto* limit = std::get_if<rate_limit_message>(&message)) {
+        const auto* session = context_.mesh.find(source);
+        scheduler_.apply_rate_limit(limit->report,
+                                    session != nullptr ? session->sender.id : instance_id{}, now);
+        return;
+    }
     if (const auto* superseded = std::get_if<role_superseded>(&message)) {
         if (role_.on_superseded(superseded->term, now)) {
             step_down("superseded by a peer");
--- a/gateway/service_runtime_role.cpp
+++ b/gateway/service_runtime_role.cpp
@@ -115,12 +115,13 @@
     for (const auto& node : asked_instances) {
         reclaim_requests(node);
     }
-    scheduler_.configure(make_admission_settings());
     // A previous process of this instance has ended and grants no leases any more. The coordinator
     // before that process may still grant some, unless the record says that it had stopped.
     bool is_own_restart = predecessor_ && predecessor_->has_no_live_predecessor &&
                           predecessor_->coordinator == context_.settings.node;
     bool has_live_predecessor = predecessor_ && !is_own_restart;
+    is_predecessor_stopped_ = !has_live_predecessor;
+    scheduler_.configure(make_admission_settings(), now);
     if (service_.is_keyed) {
         ranges_ = std::make_unique<range_coordinator>(context_.loop, context_.time, context_.log,
                                                       context_.directory, service_.name,
@@ -141,7 +142,6 @@
         .number("ranges", static_cast<std::int64_t>(mine.ranges.size()));
     context_.metrics.count("coordinator_starts_total");
     context_.on_role_change();
-    is_predecessor_stopped_ = !has_live_predecessor;
     next_predecessor_request_ = {};
     if (predecessor_link_) {
         // The link belongs to an earlier term. Its destruction is deferred, because one of its
@@ -164,7 +164,7 @@
         auto retired = std::shared_ptr<range_coordinator>{std::move(ranges_)};
         context_.loop.schedule(duration::zero(), [retired] {});
     }
-    scheduler_.configure(make_admission_settings());
+    scheduler_.configure(make_admission_settings(), stopped_at_);
     context_.log.line("coordinator-stop")
         .text("service", service_.name.value())
         .text("cause", cause);
@@ -204,10 +204,13 @@
 
 auto service_runtime::on_predecessor_stopped(const role_stopped& answer) -> void
 {
-    if (!ranges_ || answer.term != role_.term()) {
+    if (answer.term != role_.term()) {
         return;
     }
     is_predecessor_stopped_ = true;
+    if (!ranges_) {
+        return;
+    }
     auto now = context_.time.now();
     auto& authority = ranges_->authority();
     authority.set_predecessor_end(now);
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -3,7 +3,7 @@
 #include "core/milliseconds.h"
 
 #include <algorithm>
-#include <cmath>
+#include <tuple>
 
 namespace cornelswitch {
 
@@ -23,17 +23,6 @@
 constexpr double min_retry_after_ms = 50.0;
 constexpr double max_retry_after_ms = 2000.0;
 
-auto is_before(const admission_request& left, const admission_request& right) -> bool
-{
-    if (left.is_late != right.is_late) {
-        return right.is_late;
-    }
-    if (left.priority != right.priority) {
-        return left.priority < right.priority;
-    }
-    return left.objective < right.objective;
-}
-
 } // namespace
 
 auto to_string(refusal_cause cause) -> std::string_view
@@ -49,6 +38,8 @@
         return "no-owner";
     case refusal_cause::expired:
         return "expired";
+    case refusal_cause::rate_limit:
+        return "rate-limit";
     }
     return "unknown";
 }
@@ -59,6 +50,13 @@
 {
 }
 
+auto admission_scheduler::is_sent_before(const admission_request& left,
+                                         const admission_request& right) -> bool
+{
+    return std::tie(left.is_late, left.priority, left.objective) <
+           std::tie(right.is_late, right.priority, right.objective);
+}
+
 auto admission_scheduler::estimate(const admission_request& request, time_point now) const
     -> duration
 {
@@ -109,7 +107,7 @@
 auto admission_scheduler::enqueue(admission_request request) -> void
 {
     auto& queue = queue_for(request);
-    queue.insert(std::ranges::upper_bound(queue, request, is_before), std::move(request));
+    queue.insert(std::ranges::upper_bound(queue, request, is_sent_before), std::move(request));
 }
 
 auto admission_scheduler::resolve_owners() -> void
@@ -151,6 +149,7 @@
     ++server.in_flight;
     server.cold_sends.push_back(now);
     server.cold_rate_limiter.on_act(now);
+    count_limited_request(server, now);
     running_.insert_or_assign({request.source, request.id},
                               running_request{server.info.id, request.work, now, request.deadline,
                                               server.info.incarnation});
@@ -206,8 +205,9 @@
         }
         auto slots = std::max(1U, it->second.info.slots);
         double busy = std::max(0.0, static_cast<double>(it->second.in_flight) - slots + 1) * 0.5;
-        return from_ms(to_ms(expected_time(it->second, request.work, now)) *
-                       (static_cast<double>(ahead) + busy) / slots);
+        auto slot_wait = from_ms(to_ms(expected_time(it->second, request.work, now)) *
+                                 (static_cast<double>(ahead) + busy) / slots);
+        return std::max(slot_wait, owner_limit_wait(request, now));
     }
     if (usable_capacity_ <= 0) {
         return duration::zero();
@@ -216,6 +216,9 @@
         return other.priority < request.priority ||
                (other.priority == request.priority && other.objective <= request.objective);
     });
+    if (ahead == 0 && has_ready_limited_server(now)) {
+        return duration::zero();
+    }
     return from_ms(to_ms(expected_work(request.work)) * (static_cast<double>(ahead) + 0.5) /
                    usable_capacity_);
 }
@@ -275,6 +278,9 @@
     request.is_expected_late = now + wait + work > request.objective;
     if (now + wait + work > request.deadline ||
         (request.is_expected_late && remaining_late_capacity(request) == 0)) {
+        if (are_all_servers_limited(request)) {
+            return refusal{request, refusal_cause::rate_limit, wait};
+        }
         return refusal{request, refusal_cause::overload, wait / 2};
     }
     return std::nullopt;
@@ -305,6 +311,7 @@
         mean_keyed_objective_ms_ += objective_weight * (ms - mean_keyed_objective_ms_);
     }
     resolve_owner(request);
+    begin_turns(request, now);
     if (auto refused = find_refusal_on_arrival(request, now)) {
         refuse(*refused, now);
         return;
@@ -422,8 +429,8 @@
     for (auto& it : queue) {
         it.is_late = it.is_late || now + estimate(it, now) > it.objective;
     }
-    if (!std::ranges::is_sorted(queue, is_before)) {
-        std::ranges::stable_sort(queue, is_before);
+    if (!std::ranges::is_sorted(queue, is_sent_before)) {
+        std::ranges::stable_sort(queue, is_sent_before);
     }
 }
 
@@ -528,9 +535,16 @@
     resolve_owners();
     // Refused only after the loops, because the decision callback may change the queues.
     std::vector<refusal> refusals;
-    auto check = [&](wait_queue& queue) {
+    auto check = [&](wait_queue& queue, const server_state* owner) {
+        std::size_t ahead = 0;
         for (auto it = queue.begin(); it != queue.end();) {
             auto refused = find_refusal(*it, now);
+            if (!refused && owner != nullptr) {
+                auto wait = rate_limit_wait(*owner, ahead, now);
+                if (wait > duration::zero() && now + wait + estimate(*it, now) / 2 > it->deadline) {
+                    refused = refusal{*it, refusal_cause::rate_limit, wait};
+                }
+            }
             bool becomes_late = !it->is_late && now + estimate(*it, now) > it->objective;
             if (!refused && becomes_late && !it->is_expected_late &&
                 remaining_late_capacity(*it) == 0) {
@@ -543,12 +557,14 @@
             }
             it->is_late = it->is_late || becomes_late;
             ++it;
+            ++ahead;
         }
     };
-    check(shared_queue_);
-    check(unowned_queue_);
+    check(shared_queue_, nullptr);
+    check(unowned_queue_, nullptr);
     for (auto& [owner, queue] : owner_queues_) {
-        check(queue);
+        auto server = servers_.find(owner);
+        check(queue, server == servers_.end() ? nullptr : &server->second);
     }
     // A disconnected source cannot report the end of its requests.
     constexpr duration report_timeout = std::chrono::seconds{1};
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -5,6 +5,7 @@
 #include "core/random.h"
 #include "routing/server_rate_limit.h"
 #include "routing/shared_rate_limiter.h"
+#include "routing/token_bucket.h"
 
 #include <cstdint>
 #include <deque>
@@ -71,7 +72,15 @@
 
 enum class admission_outcome : std::uint8_t { send, refuse };
 
-enum class refusal_cause : std::uint8_t { none, overload, no_server, no_owner, expired };
+enum class refusal_cause : std::uint8_t {
+    none,
+    overload,
+    no_server,
+    no_owner,
+    expired,
+    /// The rate limit of the servers leaves no room in time.
+    rate_limit,
+};
 
 /// Name of `cause` in logs and response bodies.
 auto to_string(refusal_cause cause) -> std::string_view;
@@ -85,6 +94,17 @@
     instance_id reported_by;
 };
 
+/// Rate limit of a server process as one instance knows it.
+struct server_rate_limit_report {
+    server_id server;
+    std::int64_t incarnation{0};
+    request_rate limit;
+    /// Times since the request was admitted whose response named the limit last, and since the
+    /// response arrived.
+    duration requested_age{0};
+    duration answered_age{0};
+};
+
 struct admission_decision {
     admission_source source;
     admission_id id;
@@ -149,6 +169,8 @@
     bool is_coordinator{true};
     /// Requests per second, of all instances together, that a cold server tolerates.
     double cold_limit{1.0};
+    /// Whether a coordinator may have a predecessor that still admits requests.
+    bool may_have_predecessor{false};
     /// Number of instances that may schedule independently at the same time.
     std::uint32_t instances{1};
     bool is_keyed{false};
@@ -172,7 +194,7 @@
     admission_scheduler(admission_settings settings, random_engine& random,
                         decision_callback on_decision);
 
-    auto configure(admission_settings settings) -> void { settings_ = settings; }
+    auto configure(admission_settings settings, time_point now) -> void;
     auto settings() const -> const admission_settings& { return settings_; }
     auto set_owner_lookup(owner_lookup_function lookup) -> void
     {
@@ -210,6 +232,14 @@
     auto backlogs() const -> std::map<server_id, std::size_t>;
     /// Number of in-flight requests of one server.
     auto running_on(const server_id& server) const -> std::size_t;
+    /// Takes one request from the rate limit of a server. Returns false if the limit leaves no
+    /// room.
+    auto try_take_request(const server_id& server, time_point now) -> bool;
+    /// All rate limits in force.
+    auto known_rate_limits(time_point now) const -> std::vector<server_rate_limit_report>;
+    /// Applies a rate limit that another instance knows.
+    auto apply_rate_limit(const server_rate_limit_report& report, const instance_id& reporter,
+                          time_point now) -> void;
     /// Rate limit of a server, if it has named one.
     auto rate_limit(const server_id& server, time_point now) const
         -> std::optional<applied_rate_limit>;
@@ -253,6 +283,10 @@
         server_rate_limit rate_limit;
         /// Instance that received the last response that named the rate limit.
         instance_id rate_limit_reporter;
+        /// Requests that the coordinator may send within the rate limit.
+        token_bucket rate_limit_tokens;
+        /// Limits this instance to its share of the rate limit while it schedules independently.
+        shared_rate_limiter rate_limit_turns;
     };
     using running_key = std::pair<admission_source, admission_id>;
     /// Requests that wait for the same servers, in the order in which they are sent.
@@ -265,6 +299,9 @@
         duration retry_after{0};
     };
 
+    /// Whether a server with room for one request gets `left` rather than `right`.
+    static auto is_sent_before(const admission_request& left, const admission_request& right)
+        -> bool;
     /// Whether only the owner of the request's key may serve it.
     auto follows_owner(const admission_request& request) const -> bool;
     auto resolve_owner(admission_request& request) const -> void;
@@ -284,6 +321,23 @@
     static auto is_avoided(const server_state& server, time_point now) -> bool;
     auto may_send(server_state& server, const admission_request& request, time_point now) -> bool;
     auto cold_limit_allows(server_state& server, time_point now) const -> bool;
+    /// Part of the server's rate limit that this scheduler may use.
+    auto usable_rate(const rate_limit_status& limit) const -> request_rate;
+    auto rate_limit_allows(server_state& server, time_point now) const -> bool;
+    /// Adds the requests that `limit` allows since the last call.
+    auto refill(server_state& server, const rate_limit_status& limit, time_point now) const -> void;
+    /// Time until the rate limit allows the request that follows `ahead` others.
+    auto rate_limit_wait(const server_state& server, std::size_t ahead, time_point now) const
+        -> duration;
+    /// Like `rate_limit_wait`, for a request to the owner of its key.
+    auto owner_limit_wait(const admission_request& request, time_point now) const -> duration;
+    /// Whether a server with a rate limit can get a request now.
+    auto has_ready_limited_server(time_point now) const -> bool;
+    /// Draws the first turn of this instance at a limited owner.
+    auto begin_turns(const admission_request& request, time_point now) -> void;
+    auto count_limited_request(server_state& server, time_point now) -> void;
+    /// Whether every server that may serve the request has a rate limit.
+    auto are_all_servers_limited(const admission_request& request) const -> bool;
     auto score(const server_state& server, const admission_request& request, time_point now) const
         -> double;
     /// Servers with room for one more request, whatever its source.
@@ -322,9 +376,14 @@
     auto update_estimates(server_state& server, const running_request& run,
                           const attempt_report& report, time_point now) -> void;
     auto update_capacity() -> void;
+    /// Mean work of the class of requests that takes longest.
+    auto longest_work_ms() const -> double;
     auto apply_rate_limit(server_state& server, const running_request& run,
                           const rate_limit_notice& notice, const instance_id& reporter,
                           time_point now) -> void;
+    auto update_rate_limit(server_state& server, const std::optional<request_rate>& limit,
+                           time_point requested_at, time_point answered_at,
+                           const instance_id& reporter, time_point now) -> void;
     static auto applied_limit(const server_state& server, time_point now)
         -> std::optional<applied_rate_limit>;
 
--- a/routing/admission_scheduler_servers.cpp
+++ b/routing/admission_scheduler_servers.cpp
@@ -27,16 +27,8 @@
 constexpr double slowness_half_life_ms = 300.0;
 /// Minimum time until the keys of an unusable server have moved to another one.
 constexpr duration min_key_move_time = milliseconds{400};
-/// An unreachable server may have restarted, so it is treated as cold until its next heartbeat, but
-/// no longer than this.
-constexpr duration max_restart_uncertainty = std::chrono::seconds{6};
 /// Time after which a suspect server is tried again without a new heartbeat.
 constexpr duration suspect_retry_delay = std::chrono::seconds{4};
-/// Share of a cold server's limit that the coordinator uses. The rest is left to instances that
-/// have lost contact with it and to a previous coordinator that does not know of its replacement.
-constexpr double coordinator_cold_share = 0.4;
-constexpr double independent_cold_share = 0.2;
-constexpr duration cold_window = std::chrono::seconds{1};
 /// Extra delay of a request to another zone, in ms.
 constexpr double cross_zone_penalty_ms = 3.0;
 /// Penalty on the score of a server in another zone if the response is large, in ms.
@@ -95,28 +87,6 @@
     return from_ms(to_ms(expected_work(work)) * server.service_time_factor * slowness);
 }
 
-auto admission_scheduler::cold_limit_allows(server_state& server, time_point now) const -> bool
-{
-    while (!server.cold_sends.empty() && server.cold_sends.front() + cold_window <= now) {
-        server.cold_sends.pop_front();
-    }
-    bool may_have_restarted = server.last_unreachable_at != time_point{} &&
-                              server.info.last_heartbeat_at <= server.last_unreachable_at &&
-                              now < server.last_unreachable_at + max_restart_uncertainty;
-    if (now >= server.info.cold_until && !may_have_restarted) {
-        server.cold_rate_limiter.reset();
-        return true;
-    }
-    if (settings_.is_coordinator) {
-        auto max_sends = std::max(1.0, std::floor(settings_.cold_limit * coordinator_cold_share));
-        return static_cast<double>(server.cold_sends.size()) < max_sends && server.in_flight < 1;
-    }
-    double interval_s =
-        settings_.instances / std::max(0.1, settings_.cold_limit * independent_cold_share);
-    auto interval = std::max(cold_window, from_ms(interval_s * 1000.0));
-    return server.cold_rate_limiter.may_act(now, interval, random_);
-}
-
 auto admission_scheduler::is_avoided(const server_state& server, time_point now) -> bool
 {
     return server.is_suspect && now < server.suspect_since + suspect_retry_delay;
@@ -132,7 +102,8 @@
         return false;
     }
     auto limit = server.info.slots + (settings_.is_coordinator ? 0 : independent_overcommit);
-    if (server.in_flight >= limit || !cold_limit_allows(server, now)) {
+    if (server.in_flight >= limit || !cold_limit_allows(server, now) ||
+        !rate_limit_allows(server, now)) {
         return false;
     }
     return !is_blocked(request.source, server.info.id, now);
@@ -176,7 +147,7 @@
     for (auto& [id, server] : servers_) {
         if (server.info.is_usable && server.in_flight < server.info.slots + overcommit &&
             now >= server.shed_until && !is_avoided(server, now) &&
-            cold_limit_allows(server, now)) {
+            cold_limit_allows(server, now) && rate_limit_allows(server, now)) {
             out.push_back(&server);
         }
     }
@@ -216,11 +187,16 @@
 auto admission_scheduler::update_capacity() -> void
 {
     usable_capacity_ = 0;
+    double work_s = longest_work_ms() / 1000.0;
     for (const auto& [id, server] : servers_) {
-        if (server.info.is_usable && !server.is_suspect) {
-            usable_capacity_ +=
-                server.info.slots / (server.service_time_factor * server.mean_slowness);
+        if (!server.info.is_usable || server.is_suspect) {
+            continue;
         }
+        double slots = server.info.slots / (server.service_time_factor * server.mean_slowness);
+        if (auto limit = server.rate_limit.status()) {
+            slots = std::min(slots, usable_rate(*limit).per_second * work_s);
+        }
+        usable_capacity_ += slots;
     }
 }
 
@@ -271,48 +247,14 @@
     known->second += (is_first ? 0.5 : work_weight) * (observed_work_ms - known->second);
 }
 
-auto admission_scheduler::apply_rate_limit(server_state& server, const running_request& run,
-                                           const rate_limit_notice& notice,
-                                           const instance_id& reporter, time_point now) -> void
-{
-    if (run.incarnation != server.info.incarnation) {
-        return;
-    }
-    bool is_changed = server.rate_limit.on_notice(notice.limit, run.started, now - notice.age);
-    auto applied = server.rate_limit.status();
-    if (applied && applied->limit == notice.limit) {
-        server.rate_limit_reporter = reporter;
-    }
-    if (is_changed && on_rate_limit_change_) {
-        on_rate_limit_change_(server.info.id, applied_limit(server, now));
-    }
-}
-
-auto admission_scheduler::applied_limit(const server_state& server, time_point now)
-    -> std::optional<applied_rate_limit>
+auto admission_scheduler::longest_work_ms() const -> double
 {
-    auto status = server.rate_limit.status();
-    if (!status) {
-        return std::nullopt;
+    if (mean_work_ms_.empty()) {
+        return initial_work_ms;
     }
-    return applied_rate_limit{status->limit, now - status->answered_at, server.rate_limit_reporter};
-}
-
-auto admission_scheduler::rate_limit(const server_id& server, time_point now) const
-    -> std::optional<applied_rate_limit>
-{
-    auto it = servers_.find(server);
-    return it == servers_.end() ? std::nullopt : applied_limit(it->second, now);
-}
-
-auto admission_scheduler::rate_limits() const -> std::pair<std::size_t, request_rate>
-{
-    std::pair<std::size_t, request_rate> out{0, {}};
-    for (const auto& [id, server] : servers_) {
-        if (auto status = server.rate_limit.status()) {
-            ++out.first;
-            out.second.per_second += status->limit.per_second;
-        }
+    double out = 0;
+    for (const auto& [id, ms] : mean_work_ms_) {
+        out = std::max(out, ms);
     }
     return out;
 }
@@ -323,21 +265,16 @@
     if (it == servers_.end()) {
         return 0;
     }
-    double work = initial_work_ms;
-    if (!mean_work_ms_.empty()) {
-        work = 0;
-        for (const auto& [id, ms] : mean_work_ms_) {
-            work = std::max(work, ms);
-        }
-    }
-    double ms = work * it->second.service_time_factor * it->second.mean_slowness;
+    double ms = longest_work_ms() * it->second.service_time_factor * it->second.mean_slowness;
     // A server whose service time takes up much of the objective has little time left for a queue,
     // so its capacity is discounted.
     double objective_ratio = mean_keyed_objective_ms_ > 0
                                  ? mean_keyed_objective_ms_ / (capacity_discount_divisor * ms)
                                  : 1.0;
-    return 1000.0 * it->second.info.slots / ms *
-           std::pow(std::min(1.0, objective_ratio), capacity_discount_exponent);
+    double out = 1000.0 * it->second.info.slots / ms *
+                 std::pow(std::min(1.0, objective_ratio), capacity_discount_exponent);
+    auto limit = it->second.rate_limit.status();
+    return limit ? std::min(out, limit->sending_rate().per_second) : out;
 }
 
 auto admission_scheduler::running_on(const server_id& server) const -> std::size_t
--- a/routing/server_rate_limit.h
+++ b/routing/server_rate_limit.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "routing/request_rate.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace cornelswitch {
@@ -17,6 +18,13 @@
 
 /// A rate limit that is in force, and where it comes from.
 struct rate_limit_status {
+    /// A lower limit is raised to this rate, in requests per second, because only the responses to
+    /// requests show that a limit has ended.
+    static constexpr double min_rate = 0.25;
+
+    /// Rate at which all instances together may send.
+    auto sending_rate() const -> request_rate { return std::max(limit, request_rate{min_rate}); }
+
     request_rate limit;
     /// When the request was admitted whose response named the limit last.
     time_point requested_at{};
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -115,6 +115,22 @@
     BOOST_TEST(!second->limit.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(report_the_rate_limit_of_a_server)
+{
+    server_rate_limit_report report{
+        server_id{"a"}, 1'700'000'000'123, {2.5}, milliseconds{90}, milliseconds{-1}};
+    std::string bytes;
+    encode_peer_message(bytes, rate_limit_message{service_id{"s"}, report});
+    auto all = decode_peer_messages(bytes).value();
+    const auto& decoded = std::get<rate_limit_message>(all.at(0));
+    BOOST_TEST((decoded.service == service_id{"s"}));
+    BOOST_TEST((decoded.report.server == report.server));
+    BOOST_TEST(decoded.report.incarnation == report.incarnation);
+    BOOST_TEST(decoded.report.limit.per_second == 2.5);
+    BOOST_TEST((decoded.report.requested_age == milliseconds{90}));
+    BOOST_TEST((decoded.report.answered_age == milliseconds{-1}));
+}
+
 BOOST_AUTO_TEST_CASE(wait_for_the_rest_of_a_message)
 {
     std::string bytes;
--- a/tests/routing/admission_scheduler_test.cpp
+++ b/tests/routing/admission_scheduler_test.cpp
@@ -1,5 +1,4 @@
-#include "core/manual_clock.h"
-#include "routing/admission_scheduler.h"
+#include "tests/routing/admission_scheduler_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,76 +11,7 @@
 namespace cornelswitch {
 namespace {
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-
-const admission_source local_source{0};
-
-struct scheduler_fixture {
-    explicit scheduler_fixture(admission_settings settings = {})
-        : scheduler{settings, random, [this](const admission_decision& decision) {
-                        decisions[decision.id.value()] = decision;
-                    }}
-    {
-    }
-
-    auto servers(std::vector<schedulable_server> list) -> void
-    {
-        scheduler.set_servers(list, time.now());
-    }
-
-    auto request(std::uint64_t id, duration objective = milliseconds{500},
-                 duration deadline = seconds{2}) -> admission_request
-    {
-        admission_request out;
-        out.source = local_source;
-        out.id = admission_id{id};
-        out.zone = zone_id{"z1"};
-        out.work = work_class{1};
-        out.received = time.now();
-        out.objective = time.now() + objective;
-        out.deadline = time.now() + deadline;
-        return out;
-    }
-
-    auto submit(admission_request request) -> void
-    {
-        scheduler.submit(std::move(request), time.now());
-    }
-
-    auto finish(std::uint64_t id, duration service_time = milliseconds{100},
-                attempt_outcome outcome = attempt_outcome::answered) -> void
-    {
-        scheduler.complete(local_source, admission_id{id}, {outcome, service_time, 0, 0, 100},
-                           time.now());
-    }
-
-    auto is_sent(std::uint64_t id) const -> bool
-    {
-        auto found = decisions.find(id);
-        return found != decisions.end() && found->second.outcome == admission_outcome::send;
-    }
-    auto is_refused(std::uint64_t id) const -> bool
-    {
-        auto found = decisions.find(id);
-        return found != decisions.end() && found->second.outcome == admission_outcome::refuse;
-    }
-
-    manual_clock time;
-    random_engine random{1};
-    std::map<std::uint64_t, admission_decision> decisions;
-    admission_scheduler scheduler;
-};
-
-auto server(const std::string& id, std::uint32_t slots = 2, const std::string& zone = "z1")
-    -> schedulable_server
-{
-    schedulable_server out;
-    out.id = server_id{id};
-    out.zone = zone_id{zone};
-    out.slots = slots;
-    return out;
-}
+using namespace test;
 
 BOOST_AUTO_TEST_SUITE(an_admission_scheduler)
 
