--- a/tests/gateway/fake_http_server.h
+++ b/tests/gateway/fake_http_server.h
@@ -20,6 +20,8 @@
     std::function<void(std::string)> send;
     /// Resets the request's connection.
     std::function<void()> reset;
+    /// Sends raw bytes and closes the request's connection in order.
+    std::function<void(std::string)> send_and_close;
     /// Whether the other side has closed the connection.
     std::function<bool()> is_closed;
 };
@@ -91,12 +93,17 @@
             }
             source->is_complete = false;
             received_request request{
-                std::move(source->head), std::move(source->body),
+                std::move(source->head),
+                std::move(source->body),
                 [source](std::string out) { source->stream->write(std::move(out)); },
                 [source] {
                     source->is_closed = true;
                     source->stream->abort();
                 },
+                [source](std::string out) {
+                    source->stream->write(std::move(out));
+                    source->stream->close_after_write();
+                },
                 [source] { return source->is_closed; }};
             source->body.clear();
             on_request_(std::move(request));
--- a/tests/platform/discovery_codec_test.cpp
+++ b/tests/platform/discovery_codec_test.cpp
@@ -75,6 +75,52 @@
                    .has_error());
 }
 
+// Guards against an entry of another writer whose numbers wrap around, such as 2^32 slots to none.
+BOOST_AUTO_TEST_CASE(is_rejected_when_a_number_is_out_of_range)
+{
+    auto with = [](const std::string& from, const std::string& to) {
+        return decode_backend_entry("i-1", replaced(valid_entry, from, to));
+    };
+    for (const auto* number : {"0", "-1", "1e3", "65537", "4294967296", "4294967298",
+                               "18446744073709551615", "18446744073709551616", "1e400"}) {
+        BOOST_TEST(with("\"Slots\":2", std::string{"\"Slots\":"} + number).has_error(), number);
+    }
+    for (const auto* number :
+         {"-1", "0.5", "18446744073709551615", "18446744073709551616", "1e400"}) {
+        BOOST_TEST(with("\"Seq\":4", std::string{"\"Seq\":"} + number).has_error(), number);
+        BOOST_TEST(with("1700000000000", number).has_error(), number);
+    }
+    for (const auto* address : {"127.0.0.9:0", "127.0.0.9:65536", "127.0.0.9:-1",
+                                "127.0.0.9:", "127.0.0.9:99999999999999999999", ":8080"}) {
+        BOOST_TEST(with("127.0.0.9:8080", address).has_error(), address);
+    }
+    for (const auto* time : {"1e400s", "-1s", "nans", "99999999999999s"}) {
+        BOOST_TEST(with("150ms", time).has_error(), time);
+    }
+}
+
+// Guards against the end of the process by an entry whose nesting exhausts the stack.
+BOOST_AUTO_TEST_CASE(is_rejected_when_it_is_nested_very_deeply)
+{
+    constexpr std::size_t depth = 130'000;
+    auto nested = std::string(depth, '[') + std::string(depth, ']');
+    BOOST_TEST(decode_backend_entry("i-1", nested).has_error());
+    BOOST_TEST(decode_backend_entry("i-1", std::string(depth, '[')).has_error());
+    auto nested_field = replaced(valid_entry, "\"ready\"", nested);
+    BOOST_TEST(decode_backend_entry("i-1", nested_field).has_error());
+    // Fields that are not read may hold anything.
+    auto nested_extra = replaced(valid_entry, "{\"Addr\"", "{\"More\":" + nested + ",\"Addr\"");
+    BOOST_TEST(decode_backend_entry("i-1", nested_extra).has_value());
+}
+
+// Guards against header lines that a server id brings into requests.
+BOOST_AUTO_TEST_CASE(is_rejected_when_its_server_id_is_not_printable)
+{
+    for (const auto* id : {"i-1\r\nX-More: 1", "i 1", "i-\xff", "i-\x7f", "\t"}) {
+        BOOST_TEST(decode_backend_entry(id, valid_entry).has_error());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(is_rejected_when_it_is_no_json_object_or_has_no_server_id)
 {
     BOOST_TEST(decode_backend_entry("i-1", "\xff\xfe{").has_error());
