--- a/tests/gateway/server_limit_test.cpp
+++ b/tests/gateway/server_limit_test.cpp
@@ -87,6 +87,49 @@
     }
 }
 
+// Guards against a new coordinator that knows no limits, although other instances know them.
+BOOST_AUTO_TEST_CASE(keeps_to_limits_that_another_instance_reports)
+{
+    start();
+    raw_connection peer{settings.peer_address};
+    std::string bytes;
+    candidate sender{instance_id{"i2"}, zone_id{"z1"}, {"127.0.0.1", 1}, 0.1};
+    encode_peer_message(bytes, peer_hello{sender, boot_id{8}, false});
+    server_rate_limit_report report{server_id{"k1"}, 1'700'000'000'000, {1.0}, {}, {}};
+    encode_peer_message(bytes, rate_limit_message{service_id{"index"}, report});
+    peer.send(bytes);
+    run_for(milliseconds{200});
+    callers.push_back(connect());
+    callers.back()->send(request("/keyed/1", "k1", key_header(5)));
+    for (int n = 0; n < 4; ++n) {
+        auto id = "more" + std::to_string(n);
+        callers.push_back(connect());
+        callers.back()->send(request("/keyed/1", id, key_header(5)));
+    }
+    run_for(milliseconds{300});
+    BOOST_TEST(k1.executed_request_ids.size() <= 1U);
+}
+
+// Guards against refusals that do not say when the limit has room again.
+BOOST_AUTO_TEST_CASE(refuses_what_the_limits_leave_no_time_for_with_a_time_to_return)
+{
+    name_limits("0.5");
+    start();
+    call(request("/keyed/1", "k0", key_header(5)));
+    std::size_t refused = 0;
+    for (int n = 1; n <= 6; ++n) {
+        auto started = loop.now();
+        auto response = call(request("/keyed/1", "k" + std::to_string(n), key_header(5)));
+        if (status(response) == "503") {
+            ++refused;
+            BOOST_TEST((loop.now() - started < milliseconds{300}));
+            BOOST_TEST(response.find("rate-limit") != std::string::npos);
+            BOOST_TEST(response.find("Retry-After: ") != std::string::npos);
+        }
+    }
+    BOOST_TEST(refused >= 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
