Make no health check of a limited server while requests wait for it

While the store is away, the coordinator checks each server that it uses twice a second. Checks count against a server's rate limit, so at a limit of two requests a second or less they took most of it from the callers. They are now made only if no request waits for the limit.

--- a/gateway/gateway_store.cpp
+++ b/gateway/gateway_store.cpp
@@ -254,7 +254,7 @@
         for (const auto& server : it->recently_used_servers(now)) {
             auto* client = it->health_path().empty() ? nullptr : health_client(server);
             if (client == nullptr || directory_.notices().held_off_until(server, now) ||
-                !it->try_take_request(server)) {
+                !it->try_take_health_check(server)) {
                 continue;
             }
             http_request request;
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -235,9 +235,9 @@
     return out;
 }
 
-auto service_runtime::try_take_request(const server_id& server) -> bool
+auto service_runtime::try_take_health_check(const server_id& server) -> bool
 {
-    return scheduler_.try_take_request(server, context_.time.now());
+    return scheduler_.try_take_health_check(server, context_.time.now());
 }
 
 auto service_runtime::on_decision(const admission_decision& decision) -> void
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -91,9 +91,9 @@
     auto on_server_ended(const server_id& server, std::int64_t incarnation) -> void;
     /// A server announced its shutdown to this instance; passes that on to the coordinator.
     auto on_server_leaving(const server_id& server, std::int64_t incarnation) -> void;
-    /// Takes one request, such as a health check, from the rate limit of a server. Returns false if
-    /// the limit leaves no room.
-    auto try_take_request(const server_id& server) -> bool;
+    /// Counts a health check against the rate limit of a server. Returns false if the limit leaves
+    /// no room or requests wait for it.
+    auto try_take_health_check(const server_id& server) -> bool;
     /// Servers to which this instance's scheduler admitted requests within the last second.
     auto recently_used_servers(time_point now) -> std::vector<server_id>;
     auto health_path() const -> const std::string& { return service_.health_path; }
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -232,9 +232,9 @@
     auto backlogs() const -> std::map<server_id, std::size_t>;
     /// Number of in-flight requests of one server.
     auto running_on(const server_id& server) const -> std::size_t;
-    /// Takes one request from the rate limit of a server. Returns false if the limit leaves no
-    /// room.
-    auto try_take_request(const server_id& server, time_point now) -> bool;
+    /// Counts a health check against the rate limit of a server. Returns false if the limit leaves
+    /// no room or requests wait for it.
+    auto try_take_health_check(const server_id& server, time_point now) -> bool;
     /// All rate limits in force.
     auto known_rate_limits(time_point now) const -> std::vector<server_rate_limit_report>;
     /// Applies a rate limit that another instance knows.
--- a/routing/admission_scheduler_limits.cpp
+++ b/routing/admission_scheduler_limits.cpp
@@ -157,13 +157,16 @@
     }
 }
 
-auto admission_scheduler::try_take_request(const server_id& server, time_point now) -> bool
+auto admission_scheduler::try_take_health_check(const server_id& server, time_point now) -> bool
 {
     auto it = servers_.find(server);
-    if (it == servers_.end()) {
+    if (it == servers_.end() || !it->second.rate_limit.status()) {
         return true;
     }
-    if (!rate_limit_allows(it->second, now)) {
+    auto queue = owner_queues_.find(server);
+    bool has_waiting =
+        !shared_queue_.empty() || (queue != owner_queues_.end() && !queue->second.empty());
+    if (has_waiting || !rate_limit_allows(it->second, now)) {
         return false;
     }
     count_limited_request(it->second, now);
