--- a/routing/request_rate.h
+++ b/routing/request_rate.h
@@ -8,7 +8,8 @@
 struct request_rate {
     double per_second{0};
 
-    friend auto operator<=>(const request_rate&, const request_rate&) = default;
+    friend auto operator<=>(const request_rate&, const request_rate&)
+        -> std::partial_ordering = default;
 };
 
 } // namespace cornelswitch
