--- a/routing/admission_scheduler_limits.cpp
+++ b/routing/admission_scheduler_limits.cpp
@@ -22,6 +22,7 @@
 /// Time for which a server's unused rate limit is kept.
 constexpr double limit_burst_s = 1.0;
 constexpr duration cold_window = std::chrono::seconds{1};
+
 /// Most requests that a rate limit which was not used up allows at once.
 auto limit_burst(request_rate rate) -> double
 {
@@ -145,6 +146,7 @@
 {
     auto it = request.owner ? servers_.find(*request.owner) : servers_.end();
     if (it != servers_.end()) {
+        // The first call draws the turn; the answer does not matter here.
         rate_limit_allows(it->second, now);
     }
 }
