--- a/review/standin/server.h
+++ b/review/standin/server.h
@@ -73,6 +73,7 @@
     bool is_keyed{true};
     milliseconds work{200};
     std::uint16_t port{0};
+    std::size_t response_bytes{4};
 };
 
 /// Stand-in of a backend server that owns keys. It reports to the store every 870 ms.
@@ -136,6 +137,8 @@
     /// Called before a release is answered, with the connection's file descriptor and number. Used for
     /// faults that the pages allow.
     std::function<void(const message&, int fd, std::uint64_t connection)> on_release;
+    /// Whether the next answer to a request is broken off.
+    std::function<bool()> is_cut_off;
     /// Called with the answer to a release that was sent.
     std::function<void(const std::string& answer, int fd, std::uint64_t connection)> on_release_answered;
 
@@ -272,7 +275,14 @@
             working_.erase(std::ranges::find(working_, key));
         }
         audit_.end(options_.id, id);
-        return answer(fd, make_response(200, echo + "X-Response-Seal: s." + options_.id + "." + id + "\r\n", "done"));
+        auto text = make_response(200, echo + "X-Response-Seal: s." + options_.id + "." + id + "\r\n",
+                                  std::string(options_.response_bytes, 'a'));
+        if (is_cut_off && is_cut_off()) {
+            record_.line(options_.id + " breaks off its answer to " + id);
+            answer(fd, text.substr(0, text.size() * 3 / 5));
+            return false;
+        }
+        return answer(fd, text);
     }
 
     auto load() -> std::string
