Review case 3: a restarted server holds keys that were moved away

Cause: released keys are granted to another server before the store's record names it, and the next coordinator believes the recorded owner although its process may have started again.

Nothing is mended.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,8 +3,8 @@
 # the disruption.
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
-[ -x target/cornelswitch-gateway ] && [ -x target/review/slow_download ] || exit 2
-timeout --signal=TERM 110 target/review/slow_download "$folder/record.txt"
+[ -x target/cornelswitch-gateway ] && [ -x target/review/restarted_owner ] || exit 2
+timeout --signal=TERM 110 target/review/restarted_owner "$folder/record.txt"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,8 +3,8 @@
 # the disruption.
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
-[ -x target/cornelswitch-gateway ] && [ -x target/review/large_bodies ] || exit 2
-timeout --signal=TERM 110 target/review/large_bodies "$folder/record.txt"
+[ -x target/cornelswitch-gateway ] && [ -x target/review/pipelined ] || exit 2
+timeout --signal=TERM 110 target/review/pipelined "$folder/record.txt"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standin/server.h
+++ b/review/standin/server.h
@@ -109,6 +109,7 @@
     }
 
     auto id() const -> const std::string& { return options_.id; }
+    auto is_up() const -> bool { return !is_stopped_; }
     auto at() const -> const address& { return service_.at(); }
     auto drain() -> void
     {
