Review scripts: end the started processes when the script is ended

Cause: a script that is ended from outside would leave its gateway processes.

Done: the processes get SIGKILL when the program that started them ends.

--- a/review/standin/deployment.hh
+++ b/review/standin/deployment.hh
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace review {
@@ -40,6 +41,8 @@
         auto log_path = folder_ + "/" + options_.node + ".log";
         pid_ = fork();
         if (pid_ == 0) {
+            // The process also ends when this program is ended from outside.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             int out = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(out, 1);
             dup2(out, 2);
