--- a/review/standin/pipelined.cc
+++ b/review/standin/pipelined.cc
@@ -6,12 +6,14 @@
 
 using namespace review;
 
-constexpr int clients = 24;
-constexpr int lookup_servers = 7;
+constexpr int clients = 160;
+constexpr int lookup_servers = 20;
 constexpr int scan_servers = 3;
 /// Of the faulty server's answers, one in this many is broken off (0.02).
 constexpr int answers_per_cut = 50;
-constexpr auto run_time = std::chrono::seconds{70};
+/// Time after the start of the load, and duration of the disruption.
+constexpr milliseconds trouble_after{6000};
+constexpr milliseconds trouble_time{5500};
 
 auto configuration() -> std::string
 {
@@ -41,15 +43,16 @@
         return servers.back().get();
     };
     for (int n = 0; n < lookup_servers; ++n) {
-        add("index", 4, milliseconds{400}, 1500);
+        add("index", 8, milliseconds{800}, 1500);
     }
     std::atomic<int> given{0};
     std::atomic<int> cuts{0};
+    std::atomic<bool> is_faulty{false};
     for (int n = 0; n < scan_servers; ++n) {
-        auto* it = add("records", 2, milliseconds{100}, 90'000);
+        auto* it = add("records", 2, milliseconds{30}, 90'000);
         if (n == 0 && has_trouble()) {
             it->is_cut_off = [&] {
-                bool is_cut = ++given % answers_per_cut == 0;
+                bool is_cut = is_faulty && ++given % answers_per_cut == 0;
                 cuts += is_cut ? 1 : 0;
                 return is_cut;
             };
@@ -97,7 +100,11 @@
             }
         });
     }
-    wait_until([&] { return lost > 10; }, run_time);
+    std::this_thread::sleep_for(trouble_after);
+    is_faulty = true;
+    std::this_thread::sleep_for(trouble_time);
+    is_faulty = false;
+    std::this_thread::sleep_for(milliseconds{1500});
     int found = lost;
     is_over = true;
     for (auto& it : threads) {
