Separate the decisions about the coordinator role from their I/O

Cause: who took over from whom, what was written to the store and what a predecessor's confirmation means stood in service_runtime_role.cpp between links, timers and the event loop.

Change: ownership/coordinator_succession holds the role, the record, the predecessor and the stop confirmation, without I/O. service_runtime keeps the links, the appends and the log lines. The decisions are the same, but for one: a restart of an owner that is found while the term starts is recorded, where it counted as recorded before.

--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -128,12 +128,12 @@
     auto operator()(const role_stopped& it) -> void
     {
         std::vector<packed_range> ranges;
-        ranges.reserve(it.ranges.size());
-        for (const auto& from : it.ranges) {
+        ranges.reserve(it.state.ranges.size());
+        for (const auto& from : it.state.ranges) {
             ranges.emplace_back(from.keys.first, from.keys.last, from.owner.value(),
                                 from.incarnation, to_us(from.confirmed_age), to_us(from.free_in));
         }
-        fields(it.service.value(), it.term.value(), it.last_term.value(), ranges);
+        fields(it.service.value(), it.term.value(), it.state.last_term.value(), ranges);
     }
     auto operator()(const topic_update& it) -> void
     {
@@ -337,17 +337,17 @@
     role_stopped out;
     out.service = from.id<service_id>();
     out.term = from.id<lease_term>();
-    out.last_term = from.id<lease_term>();
+    out.state.last_term = from.id<lease_term>();
     for (auto& [first, last, owner, incarnation, confirmed_age, free_in] :
          from.next<std::vector<packed_range>>()) {
         if (last < first) {
             throw msgpack::type_error{};
         }
-        out.ranges.push_back({{first, last},
-                              server_id{std::move(owner)},
-                              incarnation,
-                              from_us(confirmed_age),
-                              from_us(free_in)});
+        out.state.ranges.push_back({{first, last},
+                                    server_id{std::move(owner)},
+                                    incarnation,
+                                    from_us(confirmed_age),
+                                    from_us(free_in)});
     }
     return out;
 }
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -3,7 +3,7 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "fleet/candidate.h"
-#include "ownership/range_authority.h"
+#include "ownership/coordinator_succession.h"
 #include "routing/admission_scheduler.h"
 
 #include <cstdint>
@@ -116,10 +116,7 @@
     service_id service;
     /// Term of the successor that asked.
     lease_term term;
-    /// Term in which the sender was the coordinator; 0 when it was not.
-    lease_term last_term;
-    /// State of the ranges when it stopped; times are relative to the time of sending.
-    std::vector<transferred_range> ranges;
+    stopped_coordinator state;
 };
 
 /// Topics whose records one instance reads for others.
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -24,7 +24,7 @@
       scheduler_{{},
                  context.random,
                  [this](const admission_decision& decision) { on_decision(decision); }},
-      role_{context.settings.node, context.boot}
+      succession_{context.settings.node, context.boot, context.settings.peer_address}
 {
     scheduler_.set_owner_lookup([this](std::uint16_t key) { return find_owner(key); });
     scheduler_.set_source_name([this](admission_source source) {
@@ -60,14 +60,14 @@
 
 auto service_runtime::may_have_predecessor(time_point now) const -> bool
 {
-    return role_.is_held() && !is_predecessor_stopped_ &&
+    return is_coordinator() && succession_.may_predecessor_act() &&
            now < coordinator_since_ + max_predecessor_time;
 }
 
 auto service_runtime::make_admission_settings() const -> admission_settings
 {
     admission_settings out;
-    out.is_coordinator = role_.is_held();
+    out.is_coordinator = is_coordinator();
     out.may_have_predecessor = may_have_predecessor(context_.time.now());
     out.is_keyed = service_.is_keyed;
     out.instances = context_.instances();
@@ -109,15 +109,15 @@
 
 auto service_runtime::is_active() const -> bool
 {
-    return scheduler_.waiting() > 0 || !pending_.empty() || role_.is_held();
+    return scheduler_.waiting() > 0 || !pending_.empty() || is_coordinator();
 }
 
 auto service_runtime::tick(time_point now) -> void
 {
-    if (role_.is_wanted() && !is_taking_over_) {
+    if (succession_.role().is_wanted() && !is_taking_over_) {
         take_over();
     }
-    if (role_.is_held() && ranges_) {
+    if (is_coordinator() && ranges_) {
         request_predecessor_stop();
         ranges_->tick(now, scheduler_);
         record_ranges(now);
@@ -130,12 +130,13 @@
 
 auto service_runtime::reachable_coordinator() const -> std::optional<instance_id>
 {
-    if (role_.is_held() || !record_ || !context_.mesh.accepts_work(record_->coordinator)) {
+    const auto& record = succession_.record();
+    if (is_coordinator() || !record || !context_.mesh.accepts_work(record->coordinator)) {
         return std::nullopt;
     }
     bool has_declined =
-        declined_by_ == record_->coordinator && context_.time.now() < declined_until_;
-    return has_declined ? std::nullopt : std::optional{record_->coordinator};
+        declined_by_ == record->coordinator && context_.time.now() < declined_until_;
+    return has_declined ? std::nullopt : std::optional{record->coordinator};
 }
 
 auto service_runtime::is_waiting_for(const instance_id& node) const -> bool
@@ -147,7 +148,8 @@
 auto service_runtime::on_link(const instance_id& node, bool is_up) -> void
 {
     if (!is_up) {
-        if (record_ && record_->coordinator == node) {
+        const auto& record = succession_.record();
+        if (record && record->coordinator == node) {
             context_.refresh();
         }
         reclaim_requests(node);
@@ -281,7 +283,7 @@
     request.zone = context_.settings.zone;
     auto coordinator = reachable_coordinator();
     pending_.emplace(id.value(), pending_request{request, std::move(handler), coordinator});
-    if (role_.is_held() && request.key && ranges_) {
+    if (is_coordinator() && request.key && ranges_) {
         ranges_->on_request(*request.key, now);
     }
     if (coordinator) {
@@ -371,15 +373,15 @@
         return;
     }
     if (const auto* superseded = std::get_if<role_superseded>(&message)) {
-        if (role_.on_superseded(superseded->term, now)) {
+        if (succession_.on_superseded(superseded->term, now)) {
             step_down("superseded by a peer");
         }
-        if (!role_.is_held()) {
+        if (!is_coordinator()) {
             context_.mesh.send_to_session(source, make_stop_confirmation(superseded->term));
         }
         return;
     }
-    if (!role_.is_held()) {
+    if (!is_coordinator()) {
         if (const auto* query = std::get_if<admission_query>(&message)) {
             context_.mesh.send_to_session(source, admission_declined{service_.name, query->id});
         }
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -9,7 +9,7 @@
 #include "gateway/node_settings.h"
 #include "gateway/peer_mesh.h"
 #include "gateway/range_coordinator.h"
-#include "ownership/coordinator_role.h"
+#include "ownership/coordinator_succession.h"
 #include "routing/sliding_window_retry_budget.h"
 
 #include <map>
@@ -60,7 +60,7 @@
     /// call sent at `asked_at` says.
     auto set_assigned(bool is_mine, time_point asked_at) -> void
     {
-        role_.set_assigned(is_mine, asked_at);
+        succession_.set_assigned(is_mine, asked_at);
     }
     /// Handles the newest coordinator record. It was still the newest one at `confirmed_at`.
     auto on_record(const std::optional<coordinator_record>& record, time_point confirmed_at)
@@ -71,11 +71,11 @@
     auto tick(time_point now) -> void;
     /// Whether the service needs short tick intervals.
     auto is_active() const -> bool;
-    auto is_coordinator() const -> bool { return role_.is_held(); }
+    auto is_coordinator() const -> bool { return succession_.role().is_held(); }
     /// Whether this instance is the coordinator or can reach it.
     auto has_coordinator() const -> bool
     {
-        return role_.is_held() || reachable_coordinator().has_value();
+        return is_coordinator() || reachable_coordinator().has_value();
     }
     /// Whether this instance should resign as coordinator because it reaches too few instances or
     /// servers.
@@ -139,6 +139,12 @@
     auto become_coordinator(const coordinator_record& mine) -> void;
     auto step_down(std::string_view cause) -> void;
     auto record_ranges(time_point now) -> void;
+    /// The ranges that this instance grants; null when it grants none.
+    auto authority() -> range_authority* { return ranges_ ? &ranges_->authority() : nullptr; }
+    auto authority() const -> const range_authority*
+    {
+        return ranges_ ? &ranges_->authority() : nullptr;
+    }
     /// The coordinator, if it is another instance that can be asked.
     auto reachable_coordinator() const -> std::optional<instance_id>;
     auto send_query(const instance_id& node, admission_id id, const admission_request& request)
@@ -157,33 +163,15 @@
     admission_scheduler scheduler_;
     sliding_window_retry_budget budget_;
     std::unique_ptr<range_coordinator> ranges_;
-    /// Newest known coordinator record.
-    std::optional<coordinator_record> record_;
+    coordinator_succession succession_;
     /// Ranges of the newest record by first key. Used to find owners when the coordinator cannot be
     /// reached.
     std::map<std::uint16_t, recorded_range> recorded_ranges_;
-    coordinator_role role_;
     bool is_taking_over_{false};
-    /// Record of the previous coordinator.
-    std::optional<coordinator_record> predecessor_;
-    bool is_predecessor_stopped_{true};
     time_point next_predecessor_request_{};
-    /// State of the ranges when this instance ceased to be the coordinator.
-    std::vector<transferred_range> stopped_ranges_;
-    time_point stopped_at_{};
     time_point coordinator_since_{};
     /// Since when this coordinator reaches too few instances or servers; zero while it does not.
     time_point cut_off_since_{};
-    /// Revision of the ranges that was last given to the store.
-    std::uint64_t last_recorded_revision_{0};
-    /// When the ranges may be written again.
-    time_point next_record_time_{};
-    /// `coordinator_record::revision` of the last record that this process offered to the store.
-    std::uint64_t write_revision_{0};
-    /// Record that was last given to the store. It is not known yet whether it was stored.
-    std::optional<coordinator_record> last_written_record_;
-    /// Revision of the ranges in `last_written_record_`.
-    std::uint64_t last_written_ranges_revision_{0};
 
     std::unordered_map<std::uint64_t, pending_request> pending_;
     std::unordered_map<std::uint64_t, admitted_request> admitted_;
--- a/gateway/service_runtime_role.cpp
+++ b/gateway/service_runtime_role.cpp
@@ -9,11 +9,6 @@
 
 using std::chrono::milliseconds;
 
-/// Fencing tokens reserved for one term. Each move of a range uses a few, so they suffice for any
-/// term.
-constexpr std::uint64_t tokens_per_term = 1U << 20U;
-/// Shortest interval between two records of the owners; readers are billed for each record.
-constexpr duration record_interval = milliseconds{1500};
 /// Time that the other instances get to connect to a new coordinator.
 constexpr duration connect_grace = std::chrono::seconds{3};
 /// A coordinator that reaches less than half of the other instances for this time resigns.
@@ -26,18 +21,18 @@
 auto service_runtime::on_record(const std::optional<coordinator_record>& record,
                                 time_point confirmed_at) -> void
 {
-    bool is_mine = record && role_.is_mine(*record);
-    bool is_new = record != record_;
-    auto previous = std::exchange(record_, record);
+    bool is_mine = record && succession_.role().is_mine(*record);
+    bool is_new = record != succession_.record();
+    auto previous = succession_.record();
+    auto change = succession_.on_record(record, context_.time.now());
     if (is_new) {
         recorded_ranges_.clear();
-        if (record_) {
-            for (const auto& range : record_->ranges) {
+        if (record) {
+            for (const auto& range : record->ranges) {
                 recorded_ranges_.emplace(range.keys.first, range);
             }
         }
     }
-    auto change = role_.on_record(record, context_.time.now());
     if (change == role_change::start) {
         become_coordinator(*record);
     }
@@ -47,17 +42,16 @@
     if (change == role_change::stop) {
         step_down("superseded in the store");
     }
-    if (is_new && !is_mine && previous && record_ &&
-        previous->coordinator != record_->coordinator) {
+    if (is_new && !is_mine && previous && record && previous->coordinator != record->coordinator) {
         // The previous coordinator may not know yet that it was replaced and may never decide.
         reclaim_requests(previous->coordinator);
-        on_link(record_->coordinator, context_.mesh.is_up(record_->coordinator));
+        on_link(record->coordinator, context_.mesh.is_up(record->coordinator));
     }
 }
 
 auto service_runtime::on_confirmed(time_point confirmed_at) -> void
 {
-    if (role_.is_held() && ranges_) {
+    if (is_coordinator() && ranges_) {
         ranges_->authority().confirm(confirmed_at);
     }
 }
@@ -68,34 +62,20 @@
     context_.store.write(
         key(),
         [this]() -> std::optional<std::string> {
-            bool is_mine = record_ && role_.is_mine(*record_);
-            if (!role_.is_wanted() || is_mine) {
+            auto next = succession_.make_takeover_record();
+            if (!next) {
                 is_taking_over_ = false;
                 return std::nullopt;
             }
-            predecessor_ = record_;
-            coordinator_record next;
-            next.coordinator = context_.settings.node;
-            next.boot = context_.boot;
-            next.address = context_.settings.peer_address;
-            next.term = lease_term{record_ ? record_->term.value() + 1 : 1};
-            auto first = record_ ? record_->token_limit.value() : 1;
-            next.token_limit = fencing_token{first + tokens_per_term};
-            next.revision = ++write_revision_;
-            next.has_no_live_predecessor = !record_;
-            if (record_) {
-                next.ranges = record_->ranges;
-            }
-            last_written_record_ = next;
-            return encode_coordinator_record(next);
+            return encode_coordinator_record(*next);
         },
         [this, alive = alive_] {
-            if (*alive && last_written_record_) {
-                record_ = last_written_record_;
-                is_taking_over_ = false;
-                if (role_.start(last_written_record_->term)) {
-                    become_coordinator(*last_written_record_);
-                }
+            if (!*alive) {
+                return;
+            }
+            is_taking_over_ = false;
+            if (succession_.on_takeover_stored()) {
+                become_coordinator(*succession_.record());
             }
         });
 }
@@ -115,30 +95,22 @@
     for (const auto& node : asked_instances) {
         reclaim_requests(node);
     }
-    // A previous process of this instance has ended and grants no leases any more. The coordinator
-    // before that process may still grant some, unless the record says that it had stopped.
-    bool is_own_restart = predecessor_ && predecessor_->has_no_live_predecessor &&
-                          predecessor_->coordinator == context_.settings.node;
-    bool has_live_predecessor = predecessor_ && !is_own_restart;
-    is_predecessor_stopped_ = !has_live_predecessor;
-    scheduler_.configure(make_admission_settings(), now);
     if (service_.is_keyed) {
         ranges_ = std::make_unique<range_coordinator>(context_.loop, context_.time, context_.log,
                                                       context_.directory, service_.name,
                                                       range_lease_settings{});
-        auto first = fencing_token{mine.token_limit.value() - tokens_per_term};
         ranges_->update_servers(now);
-        auto& authority = ranges_->authority();
-        authority.take_over(mine.ranges, first, mine.token_limit,
-                            has_live_predecessor ? std::optional{now} : std::nullopt, now);
-        authority.confirm(now);
+    }
+    succession_.start_term(mine, authority(), now);
+    scheduler_.configure(make_admission_settings(), now);
+    if (ranges_) {
         ranges_->update_servers(now);
-        last_recorded_revision_ = authority.revision();
     }
+    const auto& predecessor = succession_.predecessor();
     context_.log.line("coordinator-start")
         .text("service", service_.name.value())
         .number("term", static_cast<std::int64_t>(mine.term.value()))
-        .text("predecessor", predecessor_ ? predecessor_->coordinator.value() : "")
+        .text("predecessor", predecessor ? predecessor->coordinator.value() : "")
         .number("ranges", static_cast<std::int64_t>(mine.ranges.size()));
     context_.metrics.count("coordinator_starts_total");
     context_.on_role_change();
@@ -155,16 +127,14 @@
 auto service_runtime::step_down(std::string_view cause) -> void
 {
     is_taking_over_ = false;
-    stopped_ranges_.clear();
-    stopped_at_ = context_.time.now();
+    auto now = context_.time.now();
+    succession_.end_term(authority(), now);
     if (ranges_) {
-        ranges_->authority().stop();
-        stopped_ranges_ = ranges_->authority().transfer(stopped_at_);
         // The destruction is deferred, because one of its handlers may be running.
         auto retired = std::shared_ptr<range_coordinator>{std::move(ranges_)};
         context_.loop.schedule(duration::zero(), [retired] {});
     }
-    scheduler_.configure(make_admission_settings(), stopped_at_);
+    scheduler_.configure(make_admission_settings(), now);
     context_.log.line("coordinator-stop")
         .text("service", service_.name.value())
         .text("cause", cause);
@@ -173,18 +143,17 @@
 auto service_runtime::request_predecessor_stop() -> void
 {
     auto now = context_.time.now();
-    bool needs_confirmation =
-        !is_predecessor_stopped_ && (!ranges_ || !ranges_->authority().is_sole(now));
+    bool needs_confirmation = succession_.needs_stop_confirmation(authority(), now);
     bool is_link_open = predecessor_link_ && predecessor_link_->is_open();
     if (!needs_confirmation || is_link_open || now < next_predecessor_request_) {
         return;
     }
-    auto term = role_.term();
+    auto term = succession_.role().term();
     next_predecessor_request_ = now + predecessor_request_interval;
     peer_link::connect(
-        context_.loop, predecessor_->address,
+        context_.loop, succession_.predecessor()->address,
         [this, term, alive = alive_](std::unique_ptr<tcp_stream> stream) {
-            if (!*alive || !stream || term != role_.term() || !role_.is_held()) {
+            if (!*alive || !stream || term != succession_.role().term() || !is_coordinator()) {
                 return;
             }
             predecessor_link_ = std::make_unique<peer_link>(context_.loop, std::move(stream));
@@ -204,92 +173,46 @@
 
 auto service_runtime::on_predecessor_stopped(const role_stopped& answer) -> void
 {
-    if (answer.term != role_.term()) {
+    if (answer.term != succession_.role().term()) {
         return;
     }
-    is_predecessor_stopped_ = true;
-    if (!ranges_) {
-        return;
-    }
-    auto now = context_.time.now();
-    auto& authority = ranges_->authority();
-    authority.set_predecessor_end(now);
-    // The ranges are only up to date if no other coordinator served between that one and this one.
-    bool is_direct_predecessor = predecessor_ && answer.last_term == predecessor_->term;
-    if (is_direct_predecessor) {
-        authority.accept_transfer(answer.ranges, now);
-        next_record_time_ = now;
-    }
+    auto ranges =
+        succession_.on_predecessor_stopped(answer.state, authority(), context_.time.now());
     context_.log.line("predecessor-stopped")
         .text("service", service_.name.value())
-        .number("last_term", static_cast<std::int64_t>(answer.last_term.value()))
-        .number("ranges",
-                is_direct_predecessor ? static_cast<std::int64_t>(answer.ranges.size()) : 0);
+        .number("last_term", static_cast<std::int64_t>(answer.state.last_term.value()))
+        .number("ranges", static_cast<std::int64_t>(ranges));
 }
 
 auto service_runtime::make_stop_confirmation(lease_term successor) const -> role_stopped
 {
-    role_stopped out{service_.name, successor, role_.term(), stopped_ranges_};
-    auto age = context_.time.now() - stopped_at_;
-    for (auto& range : out.ranges) {
-        range.confirmed_age += age;
-        range.free_in -= age;
-    }
-    return out;
+    return {service_.name, successor, succession_.make_stop_confirmation(context_.time.now())};
 }
 
 auto service_runtime::record_ranges(time_point now) -> void
 {
-    if (!ranges_ || !record_ || (now < next_record_time_ && !ranges_->authority().needs_record())) {
-        return;
-    }
-    bool is_sole = ranges_->authority().is_sole(now);
-    auto& authority = ranges_->authority();
-    if (authority.revision() == last_recorded_revision_ &&
-        is_sole == record_->has_no_live_predecessor) {
-        return;
-    }
-    last_recorded_revision_ = authority.revision();
-    next_record_time_ = now + record_interval;
-    if (authority.ranges_to_record() == record_->ranges &&
-        is_sole == record_->has_no_live_predecessor) {
-        authority.on_recorded(last_recorded_revision_, now);
+    if (!ranges_ || !succession_.needs_range_record(ranges_->authority(), now)) {
         return;
     }
     context_.store.write(
         key(),
         [this]() -> std::optional<std::string> {
-            if (!role_.is_held() || !ranges_ || !record_) {
+            if (!ranges_) {
                 return std::nullopt;
             }
-            if (last_written_record_ && record_->revision == last_written_record_->revision) {
-                // The previous append got no response but took effect.
-                ranges_->authority().on_recorded(last_written_ranges_revision_,
-                                                 context_.time.now());
-                if (ranges_->authority().revision() == last_written_ranges_revision_) {
-                    return std::nullopt;
-                }
-            }
-            auto next = *record_;
-            next.ranges = ranges_->authority().ranges_to_record();
-            last_written_ranges_revision_ = ranges_->authority().revision();
-            next.has_no_live_predecessor = ranges_->authority().is_sole(context_.time.now());
-            next.revision = ++write_revision_;
-            last_written_record_ = next;
-            return encode_coordinator_record(next);
+            auto next = succession_.make_range_record(ranges_->authority(), context_.time.now());
+            return next ? std::optional{encode_coordinator_record(*next)} : std::nullopt;
         },
         [this, alive = alive_] {
-            if (*alive && role_.is_held() && last_written_record_ && ranges_) {
-                record_ = last_written_record_;
-                ranges_->authority().on_recorded(last_written_ranges_revision_,
-                                                 context_.time.now());
+            if (*alive && ranges_) {
+                succession_.on_range_record_stored(ranges_->authority(), context_.time.now());
             }
         });
 }
 
 auto service_runtime::should_resign(time_point now) -> bool
 {
-    if (!role_.is_held() || now < coordinator_since_ + connect_grace) {
+    if (!is_coordinator() || now < coordinator_since_ + connect_grace) {
         return false;
     }
     bool reaches_minority =
--- /dev/null
+++ b/ownership/coordinator_succession.cpp
@@ -0,0 +1,166 @@
+#include "ownership/coordinator_succession.h"
+
+#include <utility>
+
+namespace cornelswitch {
+
+coordinator_succession::coordinator_succession(instance_id self, boot_id boot, endpoint address)
+    : self_{std::move(self)}, boot_{boot}, address_{std::move(address)}, role_{self_, boot_}
+{
+}
+
+auto coordinator_succession::on_record(const std::optional<coordinator_record>& record,
+                                       time_point now) -> role_change
+{
+    record_ = record;
+    return role_.on_record(record, now);
+}
+
+auto coordinator_succession::make_takeover_record() -> std::optional<coordinator_record>
+{
+    bool is_mine = record_ && role_.is_mine(*record_);
+    if (!role_.is_wanted() || is_mine) {
+        return std::nullopt;
+    }
+    predecessor_ = record_;
+    coordinator_record next;
+    next.coordinator = self_;
+    next.boot = boot_;
+    next.address = address_;
+    next.term = lease_term{record_ ? record_->term.value() + 1 : 1};
+    auto first = record_ ? record_->token_limit.value() : 1;
+    next.token_limit = fencing_token{first + tokens_per_term};
+    next.revision = ++write_revision_;
+    next.has_no_live_predecessor = !record_;
+    if (record_) {
+        next.ranges = record_->ranges;
+    }
+    last_written_record_ = next;
+    return next;
+}
+
+auto coordinator_succession::on_takeover_stored() -> bool
+{
+    if (!last_written_record_) {
+        return false;
+    }
+    record_ = last_written_record_;
+    return role_.start(last_written_record_->term);
+}
+
+auto coordinator_succession::start_term(const coordinator_record& mine, range_authority* authority,
+                                        time_point now) -> void
+{
+    // A previous process of this instance has ended and grants no leases any more. The coordinator
+    // before that process may still grant some, unless the record says that it had stopped.
+    bool is_own_restart =
+        predecessor_ && predecessor_->has_no_live_predecessor && predecessor_->coordinator == self_;
+    bool has_live_predecessor = predecessor_ && !is_own_restart;
+    is_predecessor_stopped_ = !has_live_predecessor;
+    if (authority == nullptr) {
+        return;
+    }
+    auto first = fencing_token{mine.token_limit.value() - tokens_per_term};
+    authority->take_over(mine.ranges, first, mine.token_limit,
+                         has_live_predecessor ? std::optional{now} : std::nullopt, now);
+    authority->confirm(now);
+    last_recorded_revision_ = authority->revision();
+}
+
+auto coordinator_succession::end_term(range_authority* authority, time_point now) -> void
+{
+    stopped_ranges_.clear();
+    stopped_at_ = now;
+    if (authority != nullptr) {
+        authority->stop();
+        stopped_ranges_ = authority->transfer(now);
+    }
+}
+
+auto coordinator_succession::make_stop_confirmation(time_point now) const -> stopped_coordinator
+{
+    stopped_coordinator out{role_.term(), stopped_ranges_};
+    auto age = now - stopped_at_;
+    for (auto& range : out.ranges) {
+        range.confirmed_age += age;
+        range.free_in -= age;
+    }
+    return out;
+}
+
+auto coordinator_succession::needs_stop_confirmation(const range_authority* authority,
+                                                     time_point now) const -> bool
+{
+    return !is_predecessor_stopped_ && (authority == nullptr || !authority->is_sole(now));
+}
+
+auto coordinator_succession::on_predecessor_stopped(const stopped_coordinator& answer,
+                                                    range_authority* authority, time_point now)
+    -> std::size_t
+{
+    is_predecessor_stopped_ = true;
+    if (authority == nullptr) {
+        return 0;
+    }
+    authority->set_predecessor_end(now);
+    // The ranges are only up to date if no other coordinator served between that one and this one.
+    bool is_direct_predecessor = predecessor_ && answer.last_term == predecessor_->term;
+    if (!is_direct_predecessor) {
+        return 0;
+    }
+    authority->accept_transfer(answer.ranges, now);
+    next_record_time_ = now;
+    return answer.ranges.size();
+}
+
+auto coordinator_succession::needs_range_record(range_authority& authority, time_point now) -> bool
+{
+    if (!record_ || (now < next_record_time_ && !authority.needs_record())) {
+        return false;
+    }
+    bool is_sole_recorded = authority.is_sole(now) == record_->has_no_live_predecessor;
+    if (authority.revision() == last_recorded_revision_ && is_sole_recorded) {
+        return false;
+    }
+    last_recorded_revision_ = authority.revision();
+    next_record_time_ = now + record_interval;
+    if (authority.ranges_to_record() == record_->ranges && is_sole_recorded) {
+        authority.on_recorded(last_recorded_revision_, now);
+        return false;
+    }
+    return true;
+}
+
+auto coordinator_succession::make_range_record(range_authority& authority, time_point now)
+    -> std::optional<coordinator_record>
+{
+    if (!role_.is_held() || !record_) {
+        return std::nullopt;
+    }
+    if (last_written_record_ && record_->revision == last_written_record_->revision) {
+        // The previous append got no response but took effect.
+        authority.on_recorded(last_written_ranges_revision_, now);
+        if (authority.revision() == last_written_ranges_revision_) {
+            return std::nullopt;
+        }
+    }
+    auto next = *record_;
+    next.ranges = authority.ranges_to_record();
+    last_written_ranges_revision_ = authority.revision();
+    next.has_no_live_predecessor = authority.is_sole(now);
+    next.revision = ++write_revision_;
+    last_written_record_ = next;
+    return next;
+}
+
+auto coordinator_succession::on_range_record_stored(range_authority& authority, time_point now)
+    -> void
+{
+    if (!role_.is_held() || !last_written_record_) {
+        return;
+    }
+    record_ = last_written_record_;
+    authority.on_recorded(last_written_ranges_revision_, now);
+}
+
+} // namespace cornelswitch
--- /dev/null
+++ b/ownership/coordinator_succession.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "ownership/coordinator_role.h"
+#include "ownership/range_authority.h"
+
+#include <optional>
+#include <vector>
+
+namespace cornelswitch {
+
+/// Confirmation of an instance that it is not the coordinator of a service any more.
+struct stopped_coordinator {
+    /// Term in which the instance was the coordinator; 0 when it was not.
+    lease_term last_term;
+    /// State of the ranges when it stopped; times are relative to the time of the confirmation.
+    std::vector<transferred_range> ranges;
+};
+
+/// What one instance knows about the coordinators of a service: the stored record, its own role,
+/// and whether earlier coordinators can still act.
+///
+/// The class does no I/O. Its user appends the records that it returns, each one on the condition
+/// that the store has no record that was not read yet.
+class coordinator_succession {
+public:
+    /// Fencing tokens reserved for one term. Each move of a range uses a few, so they suffice for
+    /// any term.
+    static constexpr std::uint64_t tokens_per_term = 1U << 20U;
+    /// Shortest interval between two records of the owners; readers are billed for each record.
+    static constexpr duration record_interval = std::chrono::milliseconds{1500};
+
+    coordinator_succession(instance_id self, boot_id boot, endpoint address);
+
+    auto role() const -> const coordinator_role& { return role_; }
+    /// Newest known record of the service.
+    auto record() const -> const std::optional<coordinator_record>& { return record_; }
+    /// Record of the coordinator that this instance replaced or is about to replace.
+    auto predecessor() const -> const std::optional<coordinator_record>& { return predecessor_; }
+    /// Whether the predecessor may still act because it has not confirmed its end.
+    auto may_predecessor_act() const -> bool { return !is_predecessor_stopped_; }
+
+    /// See `coordinator_role::set_assigned`.
+    auto set_assigned(bool is_mine, time_point sent_at) -> void
+    {
+        role_.set_assigned(is_mine, sent_at);
+    }
+    /// Processes the newest record of the service.
+    auto on_record(const std::optional<coordinator_record>& record, time_point now) -> role_change;
+    /// See `coordinator_role::on_superseded`.
+    auto on_superseded(lease_term successor, time_point now) -> bool
+    {
+        return role_.on_superseded(successor, now);
+    }
+
+    /// Returns the record by which this instance takes over; none when the role is not wanted or is
+    /// recorded as its own.
+    auto make_takeover_record() -> std::optional<coordinator_record>;
+    /// Reports that the record of `make_takeover_record` is stored. Returns whether the role
+    /// starts.
+    auto on_takeover_stored() -> bool;
+    /// Starts the term of `mine`, the record that made this instance the coordinator.
+    /// `authority` is null for a service without keys.
+    auto start_term(const coordinator_record& mine, range_authority* authority, time_point now)
+        -> void;
+    /// Ends the term. `authority` is null for a service without keys.
+    auto end_term(range_authority* authority, time_point now) -> void;
+    /// Confirms to the coordinator that replaced this instance that the term has ended.
+    auto make_stop_confirmation(time_point now) const -> stopped_coordinator;
+    /// Whether the predecessor has to be asked to stop.
+    auto needs_stop_confirmation(const range_authority* authority, time_point now) const -> bool;
+    /// Processes the confirmation of the predecessor. Returns the number of ranges that it
+    /// contributed.
+    auto on_predecessor_stopped(const stopped_coordinator& answer, range_authority* authority,
+                                time_point now) -> std::size_t;
+
+    /// Whether the ranges have changed and are to be written now.
+    auto needs_range_record(range_authority& authority, time_point now) -> bool;
+    /// Returns the record of the ranges; none when it is stored already or the role has ended.
+    auto make_range_record(range_authority& authority, time_point now)
+        -> std::optional<coordinator_record>;
+    /// Reports that the record of `make_range_record` is stored.
+    auto on_range_record_stored(range_authority& authority, time_point now) -> void;
+
+private:
+    instance_id self_;
+    boot_id boot_;
+    endpoint address_;
+    coordinator_role role_;
+    std::optional<coordinator_record> record_;
+    std::optional<coordinator_record> predecessor_;
+    bool is_predecessor_stopped_{true};
+    /// State of the ranges when this instance ceased to be the coordinator.
+    std::vector<transferred_range> stopped_ranges_;
+    time_point stopped_at_{};
+    /// Revision of the ranges that was last given to the store.
+    std::uint64_t last_recorded_revision_{0};
+    /// When the ranges may be written again.
+    time_point next_record_time_{};
+    /// `coordinator_record::revision` of the last record that this process offered to the store.
+    std::uint64_t write_revision_{0};
+    /// Record that was last given to the store. It is not known yet whether it was stored.
+    std::optional<coordinator_record> last_written_record_;
+    /// Revision of the ranges in `last_written_record_`.
+    std::uint64_t last_written_ranges_revision_{0};
+};
+
+} // namespace cornelswitch
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -39,12 +39,12 @@
     encode_peer_message(bytes, answer);
     encode_peer_message(bytes, role_stopped{service_id{"s"},
                                             lease_term{3},
-                                            lease_term{2},
-                                            {{{7, 65'535},
-                                              server_id{"a"},
-                                              1'700'000'000'123,
-                                              milliseconds{40},
-                                              milliseconds{-5}}}});
+                                            {lease_term{2},
+                                             {{{7, 65'535},
+                                               server_id{"a"},
+                                               1'700'000'000'123,
+                                               milliseconds{40},
+                                               milliseconds{-5}}}}});
     encode_peer_message(bytes, peer_ping{});
     encode_peer_message(bytes, update);
     encode_peer_message(bytes, admission_completed{service, admission_id{9}, report});
@@ -72,10 +72,10 @@
     BOOST_TEST(refused.rate_limit->reported_by.value() == "i7");
     const auto& stopped = std::get<role_stopped>(all[3]);
     BOOST_TEST(stopped.term.value() == 3U);
-    BOOST_TEST(stopped.last_term.value() == 2U);
-    BOOST_REQUIRE(stopped.ranges.size() == 1U);
+    BOOST_TEST(stopped.state.last_term.value() == 2U);
+    BOOST_REQUIRE(stopped.state.ranges.size() == 1U);
     BOOST_TEST(
-        (stopped.ranges[0] ==
+        (stopped.state.ranges[0] ==
          transferred_range{
              {7, 65'535}, server_id{"a"}, 1'700'000'000'123, milliseconds{40}, milliseconds{-5}}));
     BOOST_TEST(std::holds_alternative<peer_ping>(all[4]));
