Do not take the end of one coordinator for the end of all earlier ones

Cause: the coordinator of term 2 is cut off and may renew leases for 6.5 s. Term 3 starts and confirms to term 4 that it has stopped. Term 4 took that for the end of every earlier coordinator, and granted keys that term 2 had moved without a record 4.28 s later, while term 2 still renewed them.

Change: the end of one term (term_end) and the end of all earlier terms (earlier_terms_end) are different types. The confirmation tells how long coordinators before the stopped one may still act, and the record tells whether none can; without either, the full bound of the own term applies. The limits of admission ask the same bound.

--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstring>
+#include <limits>
 #include <tuple>
 
 namespace cornelswitch {
@@ -19,6 +20,8 @@
 /// microseconds.
 using packed_range =
     std::tuple<std::uint16_t, std::uint16_t, std::string, std::int64_t, std::int64_t, std::int64_t>;
+/// Stands for the end of earlier terms when the sender does not know it.
+constexpr std::int64_t unknown_end = std::numeric_limits<std::int64_t>::max();
 const decltype(topic_update::records) no_records;
 constexpr auto last_topic = static_cast<std::uint8_t>(shared_topic::candidates);
 
@@ -133,7 +136,8 @@
             ranges.emplace_back(from.keys.first, from.keys.last, from.owner.value(),
                                 from.incarnation, to_us(from.confirmed_age), to_us(from.free_in));
         }
-        fields(it.service.value(), it.term.value(), it.state.last_term.value(), ranges);
+        fields(it.service.value(), it.term.value(), it.state.last_term.value(), ranges,
+               it.state.earlier_terms_end_in ? to_us(*it.state.earlier_terms_end_in) : unknown_end);
     }
     auto operator()(const topic_update& it) -> void
     {
@@ -349,6 +353,10 @@
                                     from_us(confirmed_age),
                                     from_us(free_in)});
     }
+    auto end_in = from.has_more() ? from.next<std::int64_t>() : unknown_end;
+    if (end_in != unknown_end) {
+        out.state.earlier_terms_end_in = from_us(end_in);
+    }
     return out;
 }
 
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -60,7 +60,7 @@
 
 auto service_runtime::may_have_predecessor(time_point now) const -> bool
 {
-    return is_coordinator() && succession_.may_predecessor_act() &&
+    return is_coordinator() && succession_.may_earlier_coordinator_act(now) &&
            now < coordinator_since_ + max_predecessor_time;
 }
 
--- a/gateway/service_runtime_role.cpp
+++ b/gateway/service_runtime_role.cpp
@@ -143,7 +143,7 @@
 auto service_runtime::request_predecessor_stop() -> void
 {
     auto now = context_.time.now();
-    bool needs_confirmation = succession_.needs_stop_confirmation(authority(), now);
+    bool needs_confirmation = succession_.needs_stop_confirmation(now);
     bool is_link_open = predecessor_link_ && predecessor_link_->is_open();
     if (!needs_confirmation || is_link_open || now < next_predecessor_request_) {
         return;
@@ -176,11 +176,12 @@
     if (answer.term != succession_.role().term()) {
         return;
     }
-    auto ranges =
-        succession_.on_predecessor_stopped(answer.state, authority(), context_.time.now());
+    auto now = context_.time.now();
+    auto ranges = succession_.on_predecessor_stopped(answer.state, authority(), now);
     context_.log.line("predecessor-stopped")
         .text("service", service_.name.value())
         .number("last_term", static_cast<std::int64_t>(answer.state.last_term.value()))
+        .number("earlier_active", succession_.may_earlier_coordinator_act(now) ? 1 : 0)
         .number("ranges", static_cast<std::int64_t>(ranges));
 }
 
--- a/ownership/coordinator_succession.cpp
+++ b/ownership/coordinator_succession.cpp
@@ -51,18 +51,25 @@
 auto coordinator_succession::start_term(const coordinator_record& mine, range_authority* authority,
                                         time_point now) -> void
 {
-    // A previous process of this instance has ended and grants no leases any more. The coordinator
-    // before that process may still grant some, unless the record says that it had stopped.
-    bool is_own_restart =
-        predecessor_ && predecessor_->has_no_live_predecessor && predecessor_->coordinator == self_;
-    bool has_live_predecessor = predecessor_ && !is_own_restart;
-    is_predecessor_stopped_ = !has_live_predecessor;
+    is_predecessor_stopped_ = !predecessor_;
+    // No earlier coordinator gets its role confirmed after the record of this term.
+    earlier_terms_end_ = earlier_terms_end{
+        mine.term,
+        predecessor_ ? now + range_lease_settings{}.max_unconfirmed_renewal : time_point{}};
+    if (predecessor_ && predecessor_->coordinator == self_) {
+        // The coordinator was a previous process of this instance, which has ended. The
+        // coordinators before that process may still act, unless the record says that they had
+        // ended.
+        is_predecessor_stopped_ = true;
+        if (predecessor_->has_no_live_predecessor) {
+            on_term_ended({predecessor_->term, now}, {predecessor_->term, now});
+        }
+    }
     if (authority == nullptr) {
         return;
     }
     auto first = fencing_token{mine.token_limit.value() - tokens_per_term};
-    authority->take_over(mine.ranges, first, mine.token_limit,
-                         has_live_predecessor ? std::optional{now} : std::nullopt, now);
+    authority->take_over(mine.ranges, first, mine.token_limit, *earlier_terms_end_, now);
     authority->confirm(now);
     last_recorded_revision_ = authority->revision();
 }
@@ -79,7 +86,12 @@
 
 auto coordinator_succession::make_stop_confirmation(time_point now) const -> stopped_coordinator
 {
-    stopped_coordinator out{role_.term(), stopped_ranges_};
+    stopped_coordinator out;
+    out.last_term = role_.term();
+    out.ranges = stopped_ranges_;
+    if (earlier_terms_end_) {
+        out.earlier_terms_end_in = earlier_terms_end_->at() - now;
+    }
     auto age = now - stopped_at_;
     for (auto& range : out.ranges) {
         range.confirmed_age += age;
@@ -88,24 +100,40 @@
     return out;
 }
 
-auto coordinator_succession::needs_stop_confirmation(const range_authority* authority,
-                                                     time_point now) const -> bool
+auto coordinator_succession::on_term_ended(const term_end& last, const earlier_terms_end& before)
+    -> void
 {
-    return !is_predecessor_stopped_ && (authority == nullptr || !authority->is_sole(now));
+    auto joined = before.including(last);
+    bool is_earlier = joined && joined->term() == earlier_terms_end_->term() &&
+                      joined->at() < earlier_terms_end_->at();
+    if (is_earlier) {
+        earlier_terms_end_ = joined;
+    }
 }
 
 auto coordinator_succession::on_predecessor_stopped(const stopped_coordinator& answer,
                                                     range_authority* authority, time_point now)
     -> std::size_t
 {
+    if (!predecessor_ || !earlier_terms_end_) {
+        return 0;
+    }
     is_predecessor_stopped_ = true;
+    // An instance that was the coordinator in another term has replaced the process of the
+    // predecessor, and does not know about the terms before.
+    bool is_predecessor = answer.last_term == predecessor_->term;
+    if (is_predecessor && answer.earlier_terms_end_in) {
+        on_term_ended({predecessor_->term, now},
+                      {predecessor_->term, now + *answer.earlier_terms_end_in});
+    } else if (predecessor_->has_no_live_predecessor) {
+        on_term_ended({predecessor_->term, now}, {predecessor_->term, now});
+    }
     if (authority == nullptr) {
         return 0;
     }
-    authority->set_predecessor_end(now);
+    authority->set_earlier_terms_end(*earlier_terms_end_);
     // The ranges are only up to date if no other coordinator served between that one and this one.
-    bool is_direct_predecessor = predecessor_ && answer.last_term == predecessor_->term;
-    if (!is_direct_predecessor) {
+    if (!is_predecessor) {
         return 0;
     }
     authority->accept_transfer(answer.ranges, now);
--- a/ownership/coordinator_succession.h
+++ b/ownership/coordinator_succession.h
@@ -2,6 +2,7 @@
 
 #include "ownership/coordinator_role.h"
 #include "ownership/range_authority.h"
+#include "ownership/term_end.h"
 
 #include <optional>
 #include <vector>
@@ -12,6 +13,9 @@
 struct stopped_coordinator {
     /// Term in which the instance was the coordinator; 0 when it was not.
     lease_term last_term;
+    /// Time until no coordinator of a term before `last_term` can act any more; zero or negative
+    /// when none can. Empty when the instance does not know.
+    std::optional<duration> earlier_terms_end_in;
     /// State of the ranges when it stopped; times are relative to the time of the confirmation.
     std::vector<transferred_range> ranges;
 };
@@ -36,8 +40,11 @@
     auto record() const -> const std::optional<coordinator_record>& { return record_; }
     /// Record of the coordinator that this instance replaced or is about to replace.
     auto predecessor() const -> const std::optional<coordinator_record>& { return predecessor_; }
-    /// Whether the predecessor may still act because it has not confirmed its end.
-    auto may_predecessor_act() const -> bool { return !is_predecessor_stopped_; }
+    /// Whether a coordinator of any earlier term may still act.
+    auto may_earlier_coordinator_act(time_point now) const -> bool
+    {
+        return earlier_terms_end_ && now < earlier_terms_end_->at();
+    }
 
     /// See `coordinator_role::set_assigned`.
     auto set_assigned(bool is_mine, time_point sent_at) -> void
@@ -67,7 +74,10 @@
     /// Confirms to the coordinator that replaced this instance that the term has ended.
     auto make_stop_confirmation(time_point now) const -> stopped_coordinator;
     /// Whether the predecessor has to be asked to stop.
-    auto needs_stop_confirmation(const range_authority* authority, time_point now) const -> bool;
+    auto needs_stop_confirmation(time_point now) const -> bool
+    {
+        return !is_predecessor_stopped_ && may_earlier_coordinator_act(now);
+    }
     /// Processes the confirmation of the predecessor. Returns the number of ranges that it
     /// contributed.
     auto on_predecessor_stopped(const stopped_coordinator& answer, range_authority* authority,
@@ -82,6 +92,10 @@
     auto on_range_record_stored(range_authority& authority, time_point now) -> void;
 
 private:
+    /// Takes into account that the term right before the own one ended at `last`, and all terms
+    /// before that one at `before`.
+    auto on_term_ended(const term_end& last, const earlier_terms_end& before) -> void;
+
     instance_id self_;
     boot_id boot_;
     endpoint address_;
@@ -89,6 +103,8 @@
     std::optional<coordinator_record> record_;
     std::optional<coordinator_record> predecessor_;
     bool is_predecessor_stopped_{true};
+    /// End of all terms before the own one; none before the first term of this instance.
+    std::optional<earlier_terms_end> earlier_terms_end_;
     /// State of the ranges when this instance ceased to be the coordinator.
     std::vector<transferred_range> stopped_ranges_;
     time_point stopped_at_{};
--- a/ownership/range_authority.cpp
+++ b/ownership/range_authority.cpp
@@ -59,7 +59,7 @@
 
 auto range_authority::may_move(time_point now) const -> bool
 {
-    return !stopped_ && now >= predecessor_last_move_ &&
+    return !stopped_ && now >= earlier_last_move_ &&
            now < role_confirmed_at_ + settings_.max_unconfirmed_moves && has_tokens();
 }
 
@@ -288,7 +288,7 @@
         it->next_action = it->call_started_at + settings_.renewal;
         // Until its last possible move, a predecessor may still move the range away. Repeating the
         // recorded token detects this, because the owner then refuses it.
-        bool is_owner_certain = !it->is_adopted || it->call_started_at >= predecessor_last_move_;
+        bool is_owner_certain = !it->is_adopted || it->call_started_at >= earlier_last_move_;
         if (is_owner_certain) {
             it->is_adopted = false;
             it->uncertain_until = {};
@@ -320,10 +320,10 @@
         it->needs_new_token = it->needs_new_token || !it->is_adopted;
         return;
     }
-    if (it->is_adopted || now < expiry_of(predecessor_end_)) {
+    if (it->is_adopted || now < expiry_of(earlier_end_)) {
         // The predecessor moved the range without recording the move, so the owner is unknown.
-        it->free_at = expiry_of(std::max(predecessor_end_, it->last_grant));
-        it->uncertain_until = expiry_of(predecessor_end_);
+        it->free_at = expiry_of(std::max(earlier_end_, it->last_grant));
+        it->uncertain_until = expiry_of(earlier_end_);
         it->is_owner_unknown = true;
         it->is_granted = false;
         set_phase(*it, range_phase::waiting, "adoption-refused");
--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "ownership/coordinator_record.h"
+#include "ownership/term_end.h"
 
 #include <cstdint>
 #include <functional>
@@ -124,14 +125,14 @@
     ~range_authority();
 
     /// Initializes the ranges from the record in the store. This coordinator may use the tokens
-    /// from `first_token` to below `token_limit`. `predecessor_seen` is the last time at which a
-    /// predecessor can have confirmed its role; empty when there is no predecessor, or when it is
-    /// known to have ended.
+    /// from `first_token` to below `token_limit`. Until `earlier_end`, coordinators of earlier
+    /// terms may renew leases.
     auto take_over(const std::vector<recorded_range>& ranges, fencing_token first_token,
-                   fencing_token token_limit, std::optional<time_point> predecessor_seen,
-                   time_point now) -> void;
-    /// Reports that the predecessor stopped at `end`; ignored when that is no earlier than assumed.
-    auto set_predecessor_end(time_point end) -> void;
+                   fencing_token token_limit, const earlier_terms_end& earlier_end, time_point now)
+        -> void;
+    /// Reports that the earlier coordinators have ended sooner; ignored when `earlier_end` is no
+    /// earlier than assumed.
+    auto set_earlier_terms_end(const earlier_terms_end& earlier_end) -> void;
     /// State of the ranges for the successor, without ranges whose owner is uncertain. Valid only
     /// after `stop`.
     auto transfer(time_point now) const -> std::vector<transferred_range>;
@@ -139,7 +140,7 @@
     /// already granted keep their state.
     auto accept_transfer(const std::vector<transferred_range>& ranges, time_point now) -> void;
     /// Whether no earlier coordinator can still renew leases.
-    auto is_sole(time_point now) const -> bool { return now >= predecessor_end_; }
+    auto is_sole(time_point now) const -> bool { return now >= earlier_end_; }
     /// Whether ranges may be moved now.
     auto may_move(time_point now) const -> bool;
     /// Sets the live servers of the service. A server that is missing may still hold keys.
@@ -210,8 +211,10 @@
     std::map<server_id, std::int64_t> servers_;
     fencing_token next_token_;
     fencing_token token_limit_;
-    time_point predecessor_end_{};
-    time_point predecessor_last_move_{};
+    /// Until then, coordinators of earlier terms may renew leases.
+    time_point earlier_end_{};
+    /// Until then, they may also move ranges.
+    time_point earlier_last_move_{};
     time_point role_confirmed_at_{};
     std::uint64_t last_call_id_{0};
     /// First key of the range of each pending call, by call id.
--- a/ownership/range_authority_succession.cpp
+++ b/ownership/range_authority_succession.cpp
@@ -8,27 +8,23 @@
 
 auto range_authority::take_over(const std::vector<recorded_range>& ranges,
                                 fencing_token first_token, fencing_token token_limit,
-                                std::optional<time_point> predecessor_seen, time_point now) -> void
+                                const earlier_terms_end& earlier_end, time_point now) -> void
 {
     next_token_ = first_token;
     token_limit_ = token_limit;
-    // A predecessor that is known to have ended may have granted leases until now.
-    predecessor_end_ =
-        predecessor_seen ? *predecessor_seen + settings_.max_unconfirmed_renewal : now;
-    predecessor_last_move_ =
-        predecessor_seen ? *predecessor_seen + settings_.max_unconfirmed_moves : now;
-    if (ranges.empty() && !predecessor_seen) {
-        predecessor_end_ = {};
-    }
+    bool is_first_term = earlier_end.at() == time_point{};
+    // Coordinators that have ended may have granted leases until now.
+    earlier_end_ = is_first_term ? time_point{} : std::max(now, earlier_end.at());
+    earlier_last_move_ = std::min(earlier_end_, now + settings_.max_unconfirmed_moves);
     ranges_.clear();
     std::uint32_t next = 0;
     auto add_unowned = [&](std::uint32_t first, std::uint32_t last) {
         range it;
         it.keys = {static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(last)};
         it.phase = range_phase::waiting;
-        bool has_predecessor = predecessor_end_ != time_point{};
+        bool has_predecessor = earlier_end_ != time_point{};
         it.is_owner_unknown = has_predecessor;
-        it.free_at = has_predecessor ? expiry_of(predecessor_end_) : now;
+        it.free_at = has_predecessor ? expiry_of(earlier_end_) : now;
         ranges_.emplace(it.keys.first, std::move(it));
     };
     auto sorted = ranges;
@@ -48,9 +44,9 @@
         it.phase = range_phase::granting;
         it.is_granted = true;
         it.is_adopted = true;
-        it.next_action = predecessor_seen ? now + settings_.transfer_timeout : now;
-        it.last_grant = predecessor_end_;
-        it.uncertain_until = expiry_of(predecessor_end_);
+        it.next_action = earlier_end_ > now ? now + settings_.transfer_timeout : now;
+        it.last_grant = earlier_end_;
+        it.uncertain_until = expiry_of(earlier_end_);
         ranges_.emplace(it.keys.first, std::move(it));
         next = from.keys.last + 1U;
     }
@@ -60,13 +56,14 @@
     ++revision_;
 }
 
-auto range_authority::set_predecessor_end(time_point end) -> void
+auto range_authority::set_earlier_terms_end(const earlier_terms_end& earlier_end) -> void
 {
-    if (end >= predecessor_end_) {
+    auto end = earlier_end.at();
+    if (end >= earlier_end_) {
         return;
     }
     auto earlier = expiry_of(end);
-    auto later = expiry_of(predecessor_end_);
+    auto later = expiry_of(earlier_end_);
     for (auto& [first, it] : ranges_) {
         if (it.free_at == later) {
             it.free_at = earlier;
@@ -74,12 +71,12 @@
         if (it.uncertain_until == later) {
             it.uncertain_until = earlier;
         }
-        if (it.last_grant == predecessor_end_) {
+        if (it.last_grant == earlier_end_) {
             it.last_grant = end;
         }
     }
-    predecessor_end_ = end;
-    predecessor_last_move_ = std::min(predecessor_last_move_, end);
+    earlier_end_ = end;
+    earlier_last_move_ = std::min(earlier_last_move_, end);
 }
 
 auto range_authority::transfer(time_point now) const -> std::vector<transferred_range>
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -40,6 +40,7 @@
     encode_peer_message(bytes, role_stopped{service_id{"s"},
                                             lease_term{3},
                                             {lease_term{2},
+                                             milliseconds{1200},
                                              {{{7, 65'535},
                                                server_id{"a"},
                                                1'700'000'000'123,
@@ -73,6 +74,7 @@
     const auto& stopped = std::get<role_stopped>(all[3]);
     BOOST_TEST(stopped.term.value() == 3U);
     BOOST_TEST(stopped.state.last_term.value() == 2U);
+    BOOST_TEST((stopped.state.earlier_terms_end_in == milliseconds{1200}));
     BOOST_REQUIRE(stopped.state.ranges.size() == 1U);
     BOOST_TEST(
         (stopped.state.ranges[0] ==
--- /dev/null
+++ b/tests/ownership/coordinator_succession_test.cpp
@@ -0,0 +1,157 @@
+#include "tests/ownership/lease_fixture.h"
+
+#include "ownership/coordinator_succession.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cornelswitch::test {
+namespace {
+
+/// One process of an instance, with its copy of the role's decisions and its ranges.
+struct test_coordinator {
+    coordinator_succession succession;
+    std::unique_ptr<range_authority> ranges;
+};
+
+/// Instances that take over from each other, with the record that the store holds.
+struct succession_fixture : lease_fixture {
+    auto make_instance(const char* name, std::uint64_t boot = 1) -> test_coordinator
+    {
+        return {coordinator_succession{instance_id{name}, boot_id{boot}, endpoint{name, 1}},
+                nullptr};
+    }
+
+    /// Makes the instance the coordinator of the next term.
+    auto take_over(test_coordinator& it) -> void
+    {
+        it.succession.on_record(stored, time.now());
+        it.succession.set_assigned(true, time.now() + milliseconds{1});
+        stored = it.succession.make_takeover_record();
+        BOOST_REQUIRE(stored.has_value());
+        BOOST_REQUIRE(it.succession.on_takeover_stored());
+        it.ranges = make_authority();
+        it.succession.start_term(*stored, it.ranges.get(), time.now());
+        it.ranges->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}, {server_id{"c"}, 1}},
+                               time.now());
+    }
+
+    /// Writes the ranges of the coordinator to the store.
+    auto record(test_coordinator& it) -> void
+    {
+        if (auto next = it.succession.make_range_record(*it.ranges, time.now())) {
+            stored = next;
+            it.succession.on_range_record_stored(*it.ranges, time.now());
+        }
+    }
+
+    /// Ends the term of the instance and returns its confirmation.
+    auto stop(test_coordinator& it, lease_term successor) -> stopped_coordinator
+    {
+        BOOST_REQUIRE(it.succession.on_superseded(successor, time.now()));
+        it.succession.end_term(it.ranges.get(), time.now());
+        return it.succession.make_stop_confirmation(time.now());
+    }
+
+    std::optional<coordinator_record> stored;
+};
+
+BOOST_AUTO_TEST_SUITE(a_succession_of_coordinators)
+
+BOOST_FIXTURE_TEST_SUITE(with_one_that_is_cut_off, succession_fixture)
+
+// Guards against two owners after two changes of the coordinator: the confirmation of the second
+// coordinator was taken for the end of the first one, which still renews leases.
+BOOST_AUTO_TEST_CASE(waits_for_the_first_one_when_the_second_one_has_stopped)
+{
+    auto first = make_instance("i1");
+    take_over(first);
+    first.ranges->move({0, 65'535}, server_id{"a"}, time.now());
+    run(*first.ranges, milliseconds{100});
+    record(first);
+    // The first coordinator loses the store and the other instances, but reaches the servers.
+    first.ranges->move({0, 9'999}, server_id{"b"}, time.now());
+    run(*first.ranges, milliseconds{100}, false);
+    BOOST_TEST(servers.at(server_id{"b"}).holds(5000));
+
+    auto second = make_instance("i2");
+    time.advance(milliseconds{1400});
+    take_over(second);
+    run(*second.ranges, milliseconds{700});
+    auto third = make_instance("i3");
+    take_over(third);
+    third.succession.on_predecessor_stopped(stop(second, lease_term{3}), third.ranges.get(),
+                                            time.now());
+    BOOST_TEST(!third.ranges->is_sole(time.now()));
+
+    for (int n = 0; n < 300; ++n) {
+        third.ranges->move({0, 9'999}, server_id{"c"}, time.now());
+        run(*third.ranges, milliseconds{50});
+        first.ranges->tick(time.now());
+    }
+    BOOST_TEST(max_holders == 1);
+    BOOST_TEST(owner_of(*third.ranges, 5000, *this) == "c");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(with_one_that_stops, succession_fixture)
+
+// Guards against seconds without moves after every change of the coordinator.
+BOOST_AUTO_TEST_CASE(goes_on_at_once_when_no_earlier_one_is_left)
+{
+    auto first = make_instance("i1");
+    take_over(first);
+    auto second = make_instance("i2");
+    take_over(second);
+    BOOST_TEST(!second.ranges->is_sole(time.now()));
+    second.succession.on_predecessor_stopped(stop(first, lease_term{2}), second.ranges.get(),
+                                             time.now());
+    BOOST_TEST(second.ranges->is_sole(time.now()));
+    auto third = make_instance("i3");
+    time.advance(seconds{1});
+    take_over(third);
+    third.succession.on_predecessor_stopped(stop(second, lease_term{3}), third.ranges.get(),
+                                            time.now());
+    BOOST_TEST(third.ranges->is_sole(time.now()));
+}
+
+// Guards against a wait of seconds after a restart, and against none when the coordinator before
+// the earlier process may still act.
+BOOST_AUTO_TEST_CASE(was_a_process_of_the_same_instance)
+{
+    auto first = make_instance("i1", 1);
+    take_over(first);
+    record(first);
+    auto restarted = make_instance("i1", 2);
+    take_over(restarted);
+    BOOST_TEST(restarted.ranges->is_sole(time.now()));
+
+    auto second = make_instance("i2");
+    take_over(second);
+    auto restarted_second = make_instance("i2", 2);
+    take_over(restarted_second);
+    BOOST_TEST(!restarted_second.ranges->is_sole(time.now()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_end_of_earlier_terms)
+
+BOOST_AUTO_TEST_CASE(is_not_known_from_the_end_of_a_single_term)
+{
+    time_point now{seconds{100}};
+    earlier_terms_end before{lease_term{3}, now + seconds{2}};
+    auto joined = before.including({lease_term{3}, now});
+    BOOST_REQUIRE(joined.has_value());
+    BOOST_TEST(joined->term().value() == 4U);
+    BOOST_TEST((joined->at() == now + seconds{2}));
+    BOOST_TEST(!before.including({lease_term{4}, now}).has_value());
+    BOOST_TEST((before.including({lease_term{2}, now + seconds{9}})->at() == now + seconds{2}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cornelswitch::test
--- a/tests/ownership/range_authority_test.cpp
+++ b/tests/ownership/range_authority_test.cpp
@@ -1,192 +1,10 @@
-#include "core/manual_clock.h"
-#include "ownership/range_authority.h"
+#include "tests/ownership/lease_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
-#include <map>
-#include <set>
-
-namespace cornelswitch {
+namespace cornelswitch::test {
 namespace {
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-
-/// A keyed server with fencing and leases on the test's clock.
-class fake_lease_server {
-public:
-    explicit fake_lease_server(const clock& time) : time_{time} {}
-
-    auto grant(key_range keys, fencing_token token, duration lease) -> result<void>
-    {
-        for (std::uint32_t key = keys.first; key <= keys.last; ++key) {
-            if (highest_token(key) > token) {
-                return error{error_code::conflict, "grant", {}, "higher token seen"};
-            }
-        }
-        for (std::uint32_t key = keys.first; key <= keys.last; ++key) {
-            highest_tokens_[key] = token;
-            held_until_[key] = time_.now() + lease + lease / 50;
-        }
-        return success();
-    }
-    auto release(key_range keys, fencing_token token) -> void
-    {
-        for (std::uint32_t key = keys.first; key <= keys.last; ++key) {
-            highest_tokens_[key] = std::max(highest_token(key), token);
-            held_until_.erase(key);
-        }
-    }
-    auto holds(std::uint32_t key) const -> bool
-    {
-        auto it = held_until_.find(key);
-        return it != held_until_.end() && time_.now() < it->second;
-    }
-    auto restart() -> void
-    {
-        highest_tokens_.clear();
-        held_until_.clear();
-    }
-
-private:
-    auto highest_token(std::uint32_t key) const -> fencing_token
-    {
-        auto it = highest_tokens_.find(key);
-        return it == highest_tokens_.end() ? fencing_token{} : it->second;
-    }
-
-    const clock& time_;
-    std::map<std::uint32_t, fencing_token> highest_tokens_;
-    std::map<std::uint32_t, time_point> held_until_;
-};
-
-/// Three servers, and an authority whose calls reach every server that is not in `unreachable`.
-struct lease_fixture {
-    lease_fixture()
-    {
-        for (const auto* name : {"a", "b", "c"}) {
-            servers.emplace(server_id{name}, fake_lease_server{time});
-        }
-    }
-
-    auto make_authority() -> std::unique_ptr<range_authority>
-    {
-        range_authority::hooks hooks;
-        hooks.grant = [this](const server_id& server, key_range keys, fencing_token token,
-                             duration lease, const std::string&,
-                             std::function<void(result<void>)> done) {
-            ++grants;
-            tokens.insert(token);
-            if (unreachable.contains(server)) {
-                pending.push_back([done] {
-                    done(error{error_code::timeout, "grant", {}, "no answer"});
-                });
-                return;
-            }
-            if (replaced.erase(server) > 0) {
-                unreachable.insert(server);
-                pending.push_back([done] {
-                    done(error{error_code::not_found, "grant", {}, "another server"});
-                });
-                return;
-            }
-            auto outcome = servers.at(server).grant(keys, token, lease);
-            if (drops_answers) {
-                outcome = error{error_code::timeout, "grant", {}, "no answer"};
-            }
-            pending.push_back([done, outcome] { done(outcome); });
-        };
-        hooks.release = [this](const server_id& server, key_range keys, fencing_token token,
-                               std::function<void(result<std::string>)> done) {
-            if (unreachable.contains(server)) {
-                pending.push_back([done] {
-                    done(error{error_code::timeout, "release", {}, "no answer"});
-                });
-                return;
-            }
-            servers.at(server).release(keys, token);
-            pending.push_back([done] { done(std::string{"handover"}); });
-        };
-        return std::make_unique<range_authority>(range_lease_settings{}, time, std::move(hooks));
-    }
-
-    auto run(range_authority& authority, duration length, bool is_confirmed = true) -> void
-    {
-        auto end = time.now() + length;
-        while (time.now() < end) {
-            time.advance(milliseconds{10});
-            if (is_confirmed) {
-                authority.confirm(time.now());
-            }
-            authority.tick(time.now());
-            auto callbacks = std::move(pending);
-            pending.clear();
-            for (auto& call : callbacks) {
-                call();
-            }
-            if (is_store_writable) {
-                authority.on_recorded(authority.revision(), time.now());
-            }
-            record_holder_count();
-        }
-    }
-
-    /// Updates the maximum number of servers that hold one key at the same time.
-    auto record_holder_count() -> void
-    {
-        for (std::uint32_t key : {0U, 1000U, 5000U, 40'000U, 65'535U}) {
-            auto holders = std::ranges::count_if(
-                servers, [&](const auto& it) { return it.second.holds(key); });
-            max_holders = std::max<std::int64_t>(max_holders, holders);
-        }
-    }
-
-    auto start(range_authority& authority) -> void
-    {
-        authority.take_over({}, fencing_token{1}, fencing_token{1000}, std::nullopt, time.now());
-        authority.confirm(time.now());
-        authority.set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}, {server_id{"c"}, 1}},
-                              time.now());
-        authority.move({0, 65'535}, server_id{"a"}, time.now());
-        run(authority, milliseconds{100});
-    }
-
-    /// Creates a coordinator that starts from `recorded` and uses tokens from `first_token`.
-    auto make_successor(const std::vector<recorded_range>& recorded, std::uint64_t first_token,
-                        bool has_predecessor = true) -> std::unique_ptr<range_authority>
-    {
-        auto authority = make_authority();
-        authority->take_over(
-            recorded, fencing_token{first_token}, fencing_token{first_token + 1000},
-            has_predecessor ? std::optional{time.now()} : std::nullopt, time.now());
-        authority->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}, {server_id{"c"}, 1}},
-                               time.now());
-        return authority;
-    }
-
-    manual_clock time;
-    std::map<server_id, fake_lease_server> servers;
-    std::set<server_id> unreachable;
-    /// Servers whose address another server uses. The first call is answered with an error, later
-    /// calls get no answer.
-    std::set<server_id> replaced;
-    std::set<fencing_token> tokens;
-    std::vector<std::function<void()>> pending;
-    bool is_store_writable{true};
-    /// Grants take effect but their answers are lost.
-    bool drops_answers{false};
-    std::int64_t max_holders{0};
-    int grants{0};
-};
-
-auto owner_of(const range_authority& authority, std::uint16_t key, const lease_fixture& fixture)
-    -> std::string
-{
-    auto found = authority.find(key, fixture.time.now());
-    return found.owner ? found.owner->value() : "";
-}
-
 BOOST_AUTO_TEST_SUITE(a_range_authority)
 
 BOOST_AUTO_TEST_SUITE(with_reachable_servers)
@@ -366,7 +184,7 @@
     auto next = fixture.make_successor(recorded, 1000);
     next->confirm(fixture.time.now());
     BOOST_TEST(!next->may_move(fixture.time.now()));
-    next->set_predecessor_end(fixture.time.now());
+    next->set_earlier_terms_end(fixture.ended());
     BOOST_TEST(next->may_move(fixture.time.now()));
 }
 
@@ -413,7 +231,7 @@
 
     auto next = fixture.make_successor(recorded, 1000);
     fixture.run(*next, milliseconds{50});
-    next->set_predecessor_end(fixture.time.now());
+    next->set_earlier_terms_end(fixture.ended());
     next->accept_transfer(first->transfer(fixture.time.now()), fixture.time.now());
     BOOST_TEST(owner_of(*next, 1000, fixture) == "b");
     fixture.run(*next, milliseconds{50});
@@ -440,7 +258,7 @@
     auto next = fixture.make_successor(recorded, 1000);
     fixture.run(*next, milliseconds{400});
     BOOST_TEST(owner_of(*next, 1000, fixture) == "");
-    next->set_predecessor_end(fixture.time.now());
+    next->set_earlier_terms_end(fixture.ended());
     next->accept_transfer(first->transfer(fixture.time.now()), fixture.time.now());
     fixture.run(*next, milliseconds{50});
     BOOST_TEST(owner_of(*next, 1000, fixture) == "b");
@@ -465,7 +283,7 @@
     BOOST_TEST(fixture.servers.at(server_id{"a"}).holds(5000));
     fixture.drops_answers = false;
     fixture.unreachable.insert(server_id{"a"});
-    next->set_predecessor_end(fixture.time.now());
+    next->set_earlier_terms_end(fixture.ended());
     next->accept_transfer({{{0, 65'535}, server_id{}, 1, {}, milliseconds{-100}}},
                           fixture.time.now());
     for (int n = 0; n < 20; ++n) {
@@ -494,7 +312,7 @@
     second->stop();
 
     auto third = fixture.make_successor(second->ranges_to_record(), 2000);
-    third->set_predecessor_end(fixture.time.now());
+    third->set_earlier_terms_end(fixture.ended());
     third->accept_transfer(second->transfer(fixture.time.now()), fixture.time.now());
     fixture.run(*third, seconds{2});
     BOOST_TEST(fixture.max_holders == 1);
@@ -584,4 +402,4 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
-} // namespace cornelswitch
+} // namespace cornelswitch::test
--- /dev/null
+++ b/tests/ownership/succession_model_test.cpp
@@ -0,0 +1,53 @@
+#include "tests/ownership/succession_model.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <string>
+
+namespace cornelswitch::test {
+namespace {
+
+/// Runs the model with each seed and returns the violations of the first run that has any.
+auto run_seeds(model_options options, std::uint64_t seeds) -> std::string
+{
+    if (const char* more = std::getenv("CORNELSWITCH_MODEL_SEEDS")) {
+        seeds = std::stoull(more);
+    }
+    std::uint64_t terms = 0;
+    std::uint64_t moves = 0;
+    std::uint64_t restarts = 0;
+    for (std::uint64_t n = 1; n <= seeds; ++n) {
+        options.seed = n;
+        auto found = succession_model{options}.run();
+        terms += found.terms;
+        moves += found.moves;
+        restarts += found.restarts;
+        if (!found.violations.empty()) {
+            return "seed " + std::to_string(n) + ": " + found.violations.front();
+        }
+        if (found.unowned_keys > 0) {
+            return "seed " + std::to_string(n) + ": " + std::to_string(found.unowned_keys) +
+                   " blocks of keys are held by no server after all faults ended";
+        }
+    }
+    BOOST_TEST_MESSAGE(seeds << " runs: " << terms << " terms, " << moves << " moves, " << restarts
+                             << " restarts of servers");
+    return "";
+}
+
+BOOST_AUTO_TEST_SUITE(coordinators_that_replace_each_other)
+
+// Guards against two holders when a coordinator believes that an earlier one has ended, or grants
+// keys to a server that does not hold them any more.
+BOOST_AUTO_TEST_CASE(grant_each_key_to_one_server_at_a_time)
+{
+    model_options options;
+    options.restarts_servers = false;
+    BOOST_TEST(run_seeds(options, 300) == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cornelswitch::test
