Do not start a term after a later one is known

Cause: the response to the append that makes an instance the coordinator can come after the message or the record of its successor. coordinator_role started the term all the same, and the record read meanwhile was replaced by the older own one. The instance had already told its successor that it does not act, so two coordinators acted, and the next one took the fencing tokens of the term in between.

Change: the role keeps the latest term that any record or message named, and does not start an earlier one; the record is only replaced if the role starts.

--- a/ownership/coordinator_role.cpp
+++ b/ownership/coordinator_role.cpp
@@ -1,5 +1,6 @@
 #include "ownership/coordinator_role.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cornelswitch {
@@ -36,6 +37,7 @@
     }
     bool is_newer_term = recorded_term_ && record->term > *recorded_term_;
     recorded_term_ = record->term;
+    latest_term_ = std::max(latest_term_, record->term);
     if (is_mine(*record)) {
         return start(record->term) ? role_change::start : role_change::none;
     }
@@ -47,6 +49,7 @@
 
 auto coordinator_role::on_superseded(lease_term successor, time_point now) -> bool
 {
+    latest_term_ = std::max(latest_term_, successor);
     if (!is_held_ || successor <= term_) {
         return false;
     }
@@ -59,7 +62,7 @@
 {
     // A role that ended must not restart from the record of its own term, which stays visible until
     // the successor's record has been read.
-    if (is_held_ || term <= term_) {
+    if (is_held_ || term <= term_ || term < latest_term_) {
         return false;
     }
     is_held_ = true;
--- a/ownership/coordinator_role.h
+++ b/ownership/coordinator_role.h
@@ -33,7 +33,7 @@
     /// the role.
     auto on_superseded(lease_term successor, time_point now) -> bool;
     /// Reports that this instance's record of `term` is stored. Returns whether this starts the
-    /// role.
+    /// role: not when a later term is known already, because the response to the append was late.
     auto start(lease_term term) -> bool;
 
     auto is_mine(const coordinator_record& record) const -> bool;
@@ -54,6 +54,8 @@
     bool is_held_{false};
     lease_term term_;
     std::optional<lease_term> recorded_term_;
+    /// Latest term of any instance that a record or a peer's message named.
+    lease_term latest_term_;
 };
 
 } // namespace cornelswitch
--- a/ownership/coordinator_succession.cpp
+++ b/ownership/coordinator_succession.cpp
@@ -41,11 +41,11 @@
 
 auto coordinator_succession::on_takeover_stored() -> bool
 {
-    if (!last_written_record_) {
+    if (!last_written_record_ || !role_.start(last_written_record_->term)) {
         return false;
     }
     record_ = last_written_record_;
-    return role_.start(last_written_record_->term);
+    return true;
 }
 
 auto coordinator_succession::start_term(const coordinator_record& mine, range_authority* authority,
--- a/tests/ownership/coordinator_role_test.cpp
+++ b/tests/ownership/coordinator_role_test.cpp
@@ -61,6 +61,20 @@
     BOOST_TEST((fixture.role.on_record(record_of("a", 5), fixture.tick()) == role_change::start));
 }
 
+// Guards against a coordinator that acts although it has told its successor that it does not: the
+// response to its append comes after the successor's message, or after the successor's record.
+BOOST_AUTO_TEST_CASE(does_not_start_when_the_response_to_its_append_is_late)
+{
+    role_fixture fixture;
+    fixture.role.set_assigned(true, fixture.tick());
+    BOOST_TEST(!fixture.role.on_superseded(lease_term{4}, fixture.tick()));
+    BOOST_TEST(!fixture.role.start(lease_term{3}));
+    BOOST_TEST(!fixture.role.is_held());
+    fixture.role.on_record(record_of("b", 7), fixture.tick());
+    BOOST_TEST(!fixture.role.start(lease_term{6}));
+    BOOST_TEST(fixture.role.start(lease_term{8}));
+}
+
 BOOST_AUTO_TEST_CASE(keeps_the_role_when_the_message_is_of_an_earlier_term)
 {
     role_fixture fixture;
