Count the time of a coordinator from when it sent its append

Cause: a coordinator took the response to its append for the moment at which the store confirmed its role. The response may come up to a second after another instance has taken over, and the coordinator then renewed leases and moved ranges for that second longer than its successor assumes.

Change: the writer passes the time at which the append was sent, and the term counts from it; from a record that was read, from when that read was sent.

Test: acts_for_a_bounded_time_after_it_sent_its_append fails when the time of the response is passed, as before, and passes.

--- a/gateway/conditional_topic_writer.cpp
+++ b/gateway/conditional_topic_writer.cpp
@@ -52,7 +52,8 @@
     auto expected_end = std::max(topic_copy_->end(), last_append_end_);
     auto request = store_codec::append_request(topic_, expected_end, it.key, *value);
     store_.call(std::move(request), append_timeout,
-                [this, it = std::move(it), alive = alive_](result<http_response> answer) mutable {
+                [this, it = std::move(it), sent_at = loop_.now(),
+                 alive = alive_](result<http_response> answer) mutable {
                     if (!*alive) {
                         return;
                     }
@@ -61,7 +62,7 @@
                                                       : result<store_append_result>{answer.error()};
                     if (outcome.has_value() && outcome.value().is_stored) {
                         last_append_end_ = outcome.value().end;
-                        it.done();
+                        it.done(sent_at);
                         start_next_write();
                         return;
                     }
--- a/gateway/conditional_topic_writer.h
+++ b/gateway/conditional_topic_writer.h
@@ -16,7 +16,9 @@
     /// Returns the value to write, or none when the write is no longer needed. Called right before
     /// each attempt, so that it can take into account what was read meanwhile.
     using value_function = std::function<std::optional<std::string>()>;
-    using done_function = std::function<void()>;
+    /// Called when the value is stored. `sent_at` is when the append was sent: the value was the
+    /// newest record then or later.
+    using done_function = std::function<void(time_point sent_at)>;
 
     conditional_topic_writer(event_loop& loop, unary_client& store, event_log& log,
                              std::string topic);
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -136,7 +136,8 @@
     auto resolve(admission_id id, const admission_decision& decision) -> void;
     auto find_owner(std::uint16_t key) const -> key_owner;
     auto take_over() -> void;
-    auto become_coordinator(const coordinator_record& mine) -> void;
+    /// `confirmed_at` is the last time at which `mine` was the newest record.
+    auto become_coordinator(const coordinator_record& mine, time_point confirmed_at) -> void;
     auto step_down(std::string_view cause) -> void;
     auto record_ranges(time_point now) -> void;
     /// The ranges that this instance grants; null when it grants none.
--- a/gateway/service_runtime_role.cpp
+++ b/gateway/service_runtime_role.cpp
@@ -34,7 +34,7 @@
         }
     }
     if (change == role_change::start) {
-        become_coordinator(*record);
+        become_coordinator(*record, confirmed_at);
     }
     if (is_mine) {
         on_confirmed(confirmed_at);
@@ -69,18 +69,19 @@
             }
             return encode_coordinator_record(*next);
         },
-        [this, alive = alive_] {
+        [this, alive = alive_](time_point sent_at) {
             if (!*alive) {
                 return;
             }
             is_taking_over_ = false;
             if (succession_.on_takeover_stored()) {
-                become_coordinator(*succession_.record());
+                become_coordinator(*succession_.record(), sent_at);
             }
         });
 }
 
-auto service_runtime::become_coordinator(const coordinator_record& mine) -> void
+auto service_runtime::become_coordinator(const coordinator_record& mine, time_point confirmed_at)
+    -> void
 {
     is_taking_over_ = false;
     auto now = context_.time.now();
@@ -101,7 +102,7 @@
                                                       range_lease_settings{});
         ranges_->update_servers(now);
     }
-    succession_.start_term(mine, authority(), now);
+    succession_.start_term(mine, authority(), confirmed_at, now);
     scheduler_.configure(make_admission_settings(), now);
     if (ranges_) {
         ranges_->update_servers(now);
@@ -204,7 +205,7 @@
             auto next = succession_.make_range_record(ranges_->authority(), context_.time.now());
             return next ? std::optional{encode_coordinator_record(*next)} : std::nullopt;
         },
-        [this, alive = alive_] {
+        [this, alive = alive_](time_point) {
             if (*alive && ranges_) {
                 succession_.on_range_record_stored(ranges_->authority(), context_.time.now());
             }
--- a/ownership/coordinator_succession.cpp
+++ b/ownership/coordinator_succession.cpp
@@ -49,7 +49,7 @@
 }
 
 auto coordinator_succession::start_term(const coordinator_record& mine, range_authority* authority,
-                                        time_point now) -> void
+                                        time_point confirmed_at, time_point now) -> void
 {
     is_predecessor_stopped_ = !predecessor_;
     // No earlier coordinator gets its role confirmed after the record of this term.
@@ -70,7 +70,7 @@
     }
     auto first = fencing_token{mine.token_limit.value() - tokens_per_term};
     authority->take_over(mine.ranges, first, mine.token_limit, *earlier_terms_end_, now);
-    authority->confirm(now);
+    authority->confirm(confirmed_at);
     last_recorded_revision_ = authority->revision();
 }
 
--- a/ownership/coordinator_succession.h
+++ b/ownership/coordinator_succession.h
@@ -65,10 +65,10 @@
     /// Reports that the record of `make_takeover_record` is stored. Returns whether the role
     /// starts.
     auto on_takeover_stored() -> bool;
-    /// Starts the term of `mine`, the record that made this instance the coordinator.
-    /// `authority` is null for a service without keys.
-    auto start_term(const coordinator_record& mine, range_authority* authority, time_point now)
-        -> void;
+    /// Starts the term of `mine`, the record that made this instance the coordinator and that was
+    /// the newest one at `confirmed_at`. `authority` is null for a service without keys.
+    auto start_term(const coordinator_record& mine, range_authority* authority,
+                    time_point confirmed_at, time_point now) -> void;
     /// Ends the term. `authority` is null for a service without keys.
     auto end_term(range_authority* authority, time_point now) -> void;
     /// Confirms to the coordinator that replaced this instance that the term has ended.
--- a/tests/ownership/coordinator_succession_test.cpp
+++ b/tests/ownership/coordinator_succession_test.cpp
@@ -21,8 +21,9 @@
                 nullptr};
     }
 
-    /// Makes the instance the coordinator of the next term.
-    auto take_over(test_coordinator& it) -> void
+    /// Makes the instance the coordinator of the next term. `confirmed_at` is when it sent the
+    /// append whose response has arrived now.
+    auto take_over(test_coordinator& it, std::optional<time_point> confirmed_at = {}) -> void
     {
         it.succession.on_record(stored, time.now());
         it.succession.set_assigned(true, time.now() + milliseconds{1});
@@ -30,7 +31,8 @@
         BOOST_REQUIRE(stored.has_value());
         BOOST_REQUIRE(it.succession.on_takeover_stored());
         it.ranges = make_authority();
-        it.succession.start_term(*stored, it.ranges.get(), time.now());
+        it.succession.start_term(*stored, it.ranges.get(), confirmed_at.value_or(time.now()),
+                                 time.now());
         it.ranges->set_servers({{server_id{"a"}, 1}, {server_id{"b"}, 1}, {server_id{"c"}, 1}},
                                time.now());
     }
@@ -96,6 +98,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(with_one_that_stops, succession_fixture)
 
+// Guards against a coordinator that acts longer than its successor assumes: the response to its
+// append was late, and it counted its time from the response.
+BOOST_AUTO_TEST_CASE(acts_for_a_bounded_time_after_it_sent_its_append)
+{
+    auto first = make_instance("i1");
+    auto sent_at = time.now();
+    time.advance(milliseconds{900});
+    take_over(first, sent_at);
+    time.advance(milliseconds{2200});
+    BOOST_TEST(!first.ranges->may_move(time.now()));
+}
+
 // Guards against seconds without moves after every change of the coordinator.
 BOOST_AUTO_TEST_CASE(goes_on_at_once_when_no_earlier_one_is_left)
 {
--- a/tests/ownership/succession_model.cpp
+++ b/tests/ownership/succession_model.cpp
@@ -321,7 +321,7 @@
         bool is_mine = it.succession->role().is_mine(*newest);
         auto change = it.succession->on_record(newest, it.time->now());
         if (change == role_change::start) {
-            become_coordinator(it, *newest);
+            become_coordinator(it, *newest, sent_at);
         } else if (change == role_change::stop) {
             step_down(it);
         }
@@ -359,6 +359,7 @@
     bool is_late = chance(0.03);
     bool is_answer_lost = is_late || chance(0.05);
     auto answered = std::make_shared<bool>(false);
+    auto sent_at = it.time->now();
     if (is_sent) {
         at(is_late ? between(100, 3000) : between(2, 12), [=, this, &it, boot = it.boot] {
             bool is_stored = store_.size() == expected_end;
@@ -382,7 +383,7 @@
                 if (kind == append_kind::takeover) {
                     it.is_taking_over = false;
                     if (it.succession->on_takeover_stored()) {
-                        become_coordinator(it, *it.succession->record());
+                        become_coordinator(it, *it.succession->record(), sent_at);
                     }
                 } else if (it.ranges) {
                     it.succession->on_range_record_stored(*it.ranges, it.time->now());
@@ -408,7 +409,8 @@
     it.next_read = {};
 }
 
-auto succession_model::become_coordinator(instance& it, const coordinator_record& mine) -> void
+auto succession_model::become_coordinator(instance& it, const coordinator_record& mine,
+                                          time_point confirmed_at) -> void
 {
     trace(it.id.value() + " starts term " + std::to_string(mine.term.value()));
     it.is_taking_over = false;
@@ -417,7 +419,7 @@
     it.ranges = std::make_unique<range_authority>(range_lease_settings{}, *it.time, make_hooks(it));
     it.next_directory_read = {};
     read_directory(it);
-    it.succession->start_term(mine, it.ranges.get(), it.time->now());
+    it.succession->start_term(mine, it.ranges.get(), confirmed_at, it.time->now());
     it.next_directory_read = {};
     read_directory(it);
     it.next_request = {};
--- a/tests/ownership/succession_model.h
+++ b/tests/ownership/succession_model.h
@@ -82,7 +82,8 @@
                  time_point sent_at) -> void;
     auto start_append(instance& it) -> void;
     auto on_append_failed(instance& it, append_kind kind) -> void;
-    auto become_coordinator(instance& it, const coordinator_record& mine) -> void;
+    auto become_coordinator(instance& it, const coordinator_record& mine, time_point confirmed_at)
+        -> void;
     auto step_down(instance& it) -> void;
     auto ask_predecessor(instance& it) -> void;
     auto read_directory(instance& it) -> void;
