Number the records of the ranges anew in each term

Cause: a coordinator remembers with which revision of its ranges it last wrote a record. In a second term of the same process, the number of the first term was still there, and the new term's revisions start small: a range that may only be granted after the store's record has ceased to name its last owner counted as recorded at once. If the coordinator ended then, its successor renewed the lease of that owner.

Change: the number starts at 0 in each term.

Test: does_not_take_a_record_of_its_first_term_for_one_of_its_second failed before and passes.

--- a/ownership/coordinator_succession.cpp
+++ b/ownership/coordinator_succession.cpp
@@ -72,6 +72,8 @@
     authority->take_over(mine.ranges, first, mine.token_limit, *earlier_terms_end_, now);
     authority->confirm(confirmed_at);
     last_recorded_revision_ = authority->revision();
+    // Revisions are numbers of this term's ranges.
+    last_written_ranges_revision_ = 0;
 }
 
 auto coordinator_succession::end_term(range_authority* authority, time_point now) -> void
--- a/tests/ownership/coordinator_succession_test.cpp
+++ b/tests/ownership/coordinator_succession_test.cpp
@@ -110,6 +110,32 @@
     BOOST_TEST(!first.ranges->may_move(time.now()));
 }
 
+// Guards against two holders: in a second term, keys that a server may still hold were granted to
+// another one before the record ceased to name the first, because the number of a record of the
+// first term counted for the second.
+BOOST_AUTO_TEST_CASE(does_not_take_a_record_of_its_first_term_for_one_of_its_second)
+{
+    auto first = make_instance("i1");
+    take_over(first);
+    for (int n = 0; n < 20; ++n) {
+        first.ranges->move({0, 65'535}, server_id{n % 2 == 0 ? "a" : "b"}, time.now());
+        run(*first.ranges, milliseconds{50});
+    }
+    record(first);
+    auto second = make_instance("i2");
+    take_over(second);
+    second.succession.on_predecessor_stopped(stop(first, lease_term{2}), second.ranges.get(),
+                                             time.now());
+    take_over(first);
+    auto answer = stop(second, lease_term{3});
+    // The predecessor reports the keys as free, but its record still names their last owner.
+    answer.ranges = {{{0, 65'535}, server_id{}, 0, {}, milliseconds{-100}}};
+    first.succession.on_predecessor_stopped(answer, first.ranges.get(), time.now());
+    BOOST_TEST(first.ranges->needs_record());
+    first.succession.make_range_record(*first.ranges, time.now());
+    BOOST_TEST(first.ranges->needs_record());
+}
+
 // Guards against seconds without moves after every change of the coordinator.
 BOOST_AUTO_TEST_CASE(goes_on_at_once_when_no_earlier_one_is_left)
 {
