Wait for the last calls of an earlier coordinator, and for slow clocks

Cause: a coordinator starts renewals for 6.5 s without a confirmation of its role. Such a call may take until its timeout of 800 ms, and the clocks of two instances may differ in rate, but a successor counted 6.5 s by its own clock. A renewal that arrived after that was not covered by the lapse of 4.28 s, and the keys had two holders for its rest.

Change: the successor counts 7.56 s: 6.5 s with two clocks that are 2% off, and the timeout of a call.

Test: waits_for_the_last_call_of_the_first_one failed before (it checks at 7.29 s).

--- a/ownership/coordinator_succession.cpp
+++ b/ownership/coordinator_succession.cpp
@@ -55,7 +55,7 @@
     // No earlier coordinator gets its role confirmed after the record of this term.
     earlier_terms_end_ = earlier_terms_end{
         mine.term,
-        predecessor_ ? now + range_lease_settings{}.max_unconfirmed_renewal : time_point{}};
+        predecessor_ ? now + range_lease_settings{}.max_unconfirmed_action() : time_point{}};
     if (predecessor_ && predecessor_->coordinator == self_) {
         // The coordinator was a previous process of this instance, which has ended. The
         // coordinators before that process may still act, unless the record says that they had
--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -43,6 +43,14 @@
     /// the recorded leases. Connecting and receiving the answer takes a few milliseconds between
     /// zones, and up to 100 ms on a small machine.
     duration transfer_timeout{std::chrono::milliseconds{150}};
+
+    /// Longest time after the last confirmation of its role at which a call of a coordinator can
+    /// reach a server, by the clock of any other instance: both clocks may be 2% off, and the last
+    /// call may take until its timeout.
+    auto max_unconfirmed_action() const -> duration
+    {
+        return max_unconfirmed_renewal + max_unconfirmed_renewal / 25 + call_timeout;
+    }
 };
 
 /// State of a range, which determines whether its keys are served.
--- a/tests/ownership/coordinator_succession_test.cpp
+++ b/tests/ownership/coordinator_succession_test.cpp
@@ -94,6 +94,21 @@
     BOOST_TEST(owner_of(*third.ranges, 5000, *this) == "c");
 }
 
+// Guards against two holders when the last renewal of a coordinator reaches a server late: it is
+// sent up to 6.5 s after the coordinator's last confirmation and may take until its timeout.
+BOOST_AUTO_TEST_CASE(waits_for_the_last_call_of_the_first_one)
+{
+    auto first = make_instance("i1");
+    take_over(first);
+    auto second = make_instance("i2");
+    take_over(second);
+    time.advance(milliseconds{6500 + 790});
+    BOOST_TEST(second.succession.may_earlier_coordinator_act(time.now()));
+    BOOST_TEST(!second.ranges->is_sole(time.now()));
+    time.advance(milliseconds{400});
+    BOOST_TEST(second.ranges->is_sole(time.now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(with_one_that_stops, succession_fixture)
--- a/tests/ownership/lease_fixture.h
+++ b/tests/ownership/lease_fixture.h
@@ -162,7 +162,7 @@
     {
         auto authority = make_authority();
         auto earlier_end = has_predecessor
-                               ? time.now() + range_lease_settings{}.max_unconfirmed_renewal
+                               ? time.now() + range_lease_settings{}.max_unconfirmed_action()
                                : time.now();
         authority->take_over(recorded, fencing_token{first_token},
                              fencing_token{first_token + 1000}, {lease_term{2}, earlier_end},
