Hold back a response that waits behind earlier ones

Cause: a response over 32 KB counted as passed on although it waited behind an earlier one and the caller had seen nothing of it. It could not be replaced, so the whole connection was closed.

Change: a response is passed on only when it is next on its connection. Until then it is held back, up to 256 KiB before reading from the server pauses, and is retried or replaced if it breaks off. Related paths: a connection whose response in progress breaks off ends after the bytes written before instead of dropping them; at the end of the grace period the first final response no longer closes the connection under those behind it.

--- a/gateway/caller_connection.cpp
+++ b/gateway/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "gateway/caller_connection.h"
 
+#include <ranges>
 #include <utility>
 
 namespace cornelswitch {
@@ -133,9 +134,14 @@
     };
     out.abort = [weak] {
         if (auto self = weak.lock()) {
-            self->close();
+            self->end_after_output();
         }
     };
+    out.is_next = [weak, slot] {
+        auto self = weak.lock();
+        return self && !self->exchanges_.empty() &&
+               self->exchanges_.front().exchange.get() == *slot;
+    };
     last_exchange_slot_ = slot;
     return out;
 }
@@ -219,9 +225,6 @@
     }
     if (entry != &exchanges_.front()) {
         entry->output.append(bytes);
-        if (entry->output.size() > max_unsent_bytes) {
-            entry->exchange->set_writable(false);
-        }
         return;
     }
     stream_->write(std::move(bytes));
@@ -256,24 +259,16 @@
             stream_->write(std::exchange(front.output, {}));
         }
         if (!front.is_finished) {
-            front.exchange->set_writable(true);
+            front.exchange->on_next();
+            is_server_paused_ = stream_->unsent_bytes() > max_unsent_bytes;
+            front.exchange->set_writable(!is_server_paused_);
             break;
         }
         bool keeps_connection = front.keeps_connection;
         exchanges_.pop_front();
         is_server_paused_ = false;
         if (!keeps_connection) {
-            // The connection closes, so later requests on it get no response.
-            for (auto& entry : exchanges_) {
-                entry.exchange->cancel();
-            }
-            exchanges_.clear();
-            receiving_.reset();
-            is_reading_done_ = true;
-            is_lingering_ = true;
-            linger_until_ = services_.loop.now() + linger_timeout;
-            stream_->shut_down_sending();
-            stream_->set_reading(true);
+            end_after_output();
         }
     }
     is_sending_responses_ = false;
@@ -289,6 +284,24 @@
     }
 }
 
+auto caller_connection::end_after_output() -> void
+{
+    if (is_closed_ || is_lingering_) {
+        return;
+    }
+    auto self = shared_from_this();
+    is_reading_done_ = true;
+    is_lingering_ = true;
+    linger_until_ = services_.loop.now() + linger_timeout;
+    auto exchanges = std::exchange(exchanges_, {});
+    for (auto& entry : exchanges) {
+        entry.exchange->cancel();
+    }
+    receiving_.reset();
+    stream_->shut_down_sending();
+    stream_->set_reading(true);
+}
+
 auto caller_connection::on_stream_end() -> void
 {
     close();
@@ -330,9 +343,10 @@
 auto caller_connection::respond_now() -> void
 {
     auto self = shared_from_this();
-    // A copy, because a response may close the connection and clear the queue.
+    // A copy, because a response may close the connection and clear the queue. From the last to the
+    // first, because a response that is held back begins when the earlier ones are complete.
     auto exchanges = exchanges_;
-    for (auto& entry : exchanges) {
+    for (auto& entry : std::views::reverse(exchanges)) {
         entry.exchange->respond_now();
     }
 }
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -51,6 +51,8 @@
     auto on_finished(const caller_exchange* from, bool keeps_connection) -> void;
     /// Sends the responses that are next in order, then parses further requests.
     auto send_ready_responses() -> void;
+    /// Ends the connection after the bytes written so far. Requests in progress get no response.
+    auto end_after_output() -> void;
     auto reject(int status, std::string_view reason) -> void;
     auto find(const caller_exchange* wanted) -> queued_exchange*;
     auto make_output(std::weak_ptr<caller_connection> weak) -> caller_exchange::output;
--- a/gateway/caller_exchange.cpp
+++ b/gateway/caller_exchange.cpp
@@ -164,6 +164,7 @@
     expected_cold_time_ =
         std::max(server_record->cold_until, server_record->presumed_cold_until) - now;
     is_committed_ = false;
+    is_held_back_ = false;
     response_body_.clear();
     response_bytes_ = 0;
     server_attempt_request request;
@@ -328,14 +329,20 @@
     if (phase_ == phase::done) {
         return;
     }
-    if (phase_ == phase::responding && is_committed_) {
-        // Part of the response was passed on, so the rest may follow for `late_timeout`.
+    if (phase_ == phase::responding && (is_committed_ || is_held_back_)) {
+        // Part of the response was passed on or would have been without the earlier ones, so the
+        // rest may follow for `late_timeout`.
         timer_ = services_.loop.schedule(services_.response_limits.late_timeout, [self] {
             self->timer_ = 0;
             self->cut_response("no end of the response after the deadline");
         });
         return;
     }
+    respond_unanswered();
+}
+
+auto caller_exchange::respond_unanswered() -> void
+{
     if (stop_attempt() || may_have_run_) {
         respond(504, "timeout", std::nullopt);
     } else {
@@ -349,6 +356,10 @@
         return;
     }
     auto self = shared_from_this();
+    if (!is_committed_) {
+        respond_unanswered();
+        return;
+    }
     stop_attempt();
     abort_response(cause);
 }
@@ -370,12 +381,18 @@
     if (phase_ == phase::done || is_committed_) {
         return;
     }
-    keeps_connection_ = false;
     if (phase_ == phase::reading) {
         refuse("stopping", default_retry_after);
         return;
     }
-    on_timeout();
+    respond_unanswered();
+}
+
+auto caller_exchange::on_next() -> void
+{
+    if (phase_ == phase::responding && is_held_back_) {
+        commit_response();
+    }
 }
 
 auto caller_exchange::close_after_response() -> bool
--- a/gateway/caller_exchange.h
+++ b/gateway/caller_exchange.h
@@ -49,8 +49,11 @@
         std::function<void(std::string)> write;
         /// The response is complete. The connection stays open when `keeps_connection` is set.
         std::function<void(bool keeps_connection)> finish;
-        /// The response cannot be completed; the connection must be reset.
+        /// The response cannot be completed; the connection must end after what was written.
         std::function<void()> abort;
+        /// Whether all earlier responses of the connection are complete. Nothing of a response that
+        /// waits for earlier ones reaches the caller.
+        std::function<bool()> is_next;
     };
 
     caller_exchange(exchange_services& services, http1_head head, output sink);
@@ -63,9 +66,11 @@
     auto run() -> void;
     /// The caller has disconnected.
     auto cancel() -> void;
-    /// Sends the final response now, as at the deadline. A request that was not received completely
-    /// is refused, since it did not run.
+    /// Sends the final response now, as at the deadline, unless one has begun. A request that was
+    /// not received completely is refused, since it did not run.
     auto respond_now() -> void;
+    /// All earlier responses of the connection are complete, so this one may be passed on.
+    auto on_next() -> void;
     /// Resumes or pauses reading from the server, depending on the space in the caller's buffer.
     auto set_writable(bool is_writable) -> void;
     auto is_done() const -> bool { return phase_ == phase::done; }
@@ -92,14 +97,18 @@
     auto on_failure(attempt_outcome outcome, bool was_reused, std::string_view cause) -> void;
     auto on_not_run() -> void;
     auto on_timeout() -> void;
-    /// Aborts an endless response. Part of it may already be with the caller, so the caller's
-    /// connection is reset.
+    /// Aborts an endless response. If part of it was passed on, the caller's connection ends.
     auto cut_response(std::string_view cause) -> void;
+    /// Stops the attempt and sends the response to a request that got none in time.
+    auto respond_unanswered() -> void;
     /// Cancels the attempt in progress or the pending admission. Returns whether a request was
     /// sent.
     auto stop_attempt() -> bool;
     /// Retries the request if that is allowed, otherwise responds to it.
     auto retry_or_respond(int status, std::string_view reason, bool may_have_run) -> void;
+    /// Stops waiting for the end of the response: passes it on as it arrives, or holds it back
+    /// until the earlier responses of the connection are complete.
+    auto stream_response() -> void;
     auto commit_response() -> void;
     auto respond(int status, std::string_view reason, std::optional<duration> retry_after) -> void;
     auto refuse(std::string_view reason, duration retry_after) -> void;
@@ -156,6 +165,9 @@
     std::uint64_t response_bytes_{0};
     /// The head of the response was passed on, so it cannot be replaced by another one.
     bool is_committed_{false};
+    /// The response will be passed on as it arrives, once the earlier ones are complete. Until then
+    /// it can be replaced.
+    bool is_held_back_{false};
     bool is_response_chunked_{false};
     /// The server rejected the request; the body of its response is ignored.
     bool is_discarding_{false};
--- a/gateway/caller_exchange_response.cpp
+++ b/gateway/caller_exchange_response.cpp
@@ -11,6 +11,8 @@
 /// Responses up to this size are buffered until they are complete, so that a truncated one can be
 /// replaced by a retry on another server.
 constexpr std::size_t max_buffered_response = 32 * 1024;
+/// Number of bytes held back above which reading from the server pauses.
+constexpr std::size_t max_held_back_bytes = 256 * 1024;
 
 auto encode_chunk(std::string_view bytes) -> std::string
 {
@@ -49,7 +51,7 @@
     note_rate_limit(info);
     phase_ = phase::responding;
     if (response_.framing == body_framing::length && response_.length > max_buffered_response) {
-        commit_response();
+        stream_response();
     }
 }
 
@@ -71,12 +73,24 @@
     }
 }
 
+auto caller_exchange::stream_response() -> void
+{
+    if (output_.is_next()) {
+        commit_response();
+        return;
+    }
+    // A response that breaks off is replaced as long as the caller has seen nothing of it; the
+    // earlier requests of its connection are not affected.
+    is_held_back_ = true;
+}
+
 auto caller_exchange::commit_response() -> void
 {
     if (is_committed_) {
         return;
     }
     is_committed_ = true;
+    is_held_back_ = false;
     is_response_chunked_ = response_.framing == body_framing::chunked ||
                            response_.framing == body_framing::until_close;
     auto framing = is_response_chunked_ ? body_framing::chunked : response_.framing;
@@ -104,7 +118,10 @@
     }
     response_body_.append(bytes);
     if (response_body_.size() > max_buffered_response) {
-        commit_response();
+        stream_response();
+    }
+    if (is_held_back_ && response_body_.size() > max_held_back_bytes) {
+        attempt_->set_reading(false);
     }
 }
 
--- a/tests/adapters/raw_connection.h
+++ b/tests/adapters/raw_connection.h
@@ -16,9 +16,14 @@
 /// A TCP connection on which a test sends arbitrary bytes.
 class raw_connection {
 public:
-    explicit raw_connection(const endpoint& peer)
+    /// A `receive_buffer` over zero fixes the size of the kernel's receive buffer, in bytes.
+    explicit raw_connection(const endpoint& peer, int receive_buffer = 0)
         : fd_{socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}
     {
+        if (receive_buffer > 0) {
+            BOOST_REQUIRE(setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                                     sizeof(receive_buffer)) == 0);
+        }
         auto address = to_socket_address(peer).value();
         BOOST_REQUIRE(connect(fd_, address.get(), address.size) == 0);
     }
