--- a/tests/ownership/succession_model.cpp
+++ b/tests/ownership/succession_model.cpp
@@ -153,8 +153,8 @@
         it.index = n;
         auto drift =
             static_cast<int>(uniform_below(
-                random_, 2 * static_cast<std::uint64_t>(options.max_drift_per_mille) + 1)) -
-            options.max_drift_per_mille;
+                random_, 2 * static_cast<std::uint64_t>(options_.max_drift_per_mille) + 1)) -
+            options_.max_drift_per_mille;
         it.time = std::make_unique<drifting_clock>(time_, drift);
         start_process(it);
     }
