Refuse requests that arrive when every request has got its final response

Report of another operator: in a planned stop, requests that came late in the grace period were passed on and cut without a response at its end, among them requests that may not be repeated (LOST).

Cause here: requests in progress got their final response 700 ms before the end of the grace period, and requests of the next 300 ms were still passed on. The process ends before a server can respond, so the caller got 504 for a request that may have run, or nothing.

Change: a connection whose requests have got their final response refuses further requests with 503 and Retry-After at once; they are not executed.

Evidence: refuses_requests_that_arrive_too_late_to_be_executed fails before (the server gets the request, 504) and passes. responds_to_requests_that_arrive_late_in_the_grace_period passes before and after: what comes earlier in the grace period, unsafe requests included, gets 504 before the end.

--- a/gateway/caller_connection.cpp
+++ b/gateway/caller_connection.cpp
@@ -1,6 +1,5 @@
 #include "gateway/caller_connection.h"
 
-#include <ranges>
 #include <utility>
 
 namespace cornelswitch {
@@ -187,6 +186,10 @@
     }
     // Requests after the last one could not be answered, so they must not run.
     is_reading_done_ = is_reading_done_ || is_shutting_down_ || is_current_request_last_;
+    if (is_refusing_) {
+        exchange->respond_now();
+        return;
+    }
     exchange->run();
 }
 
@@ -343,11 +346,12 @@
 auto caller_connection::respond_now() -> void
 {
     auto self = shared_from_this();
+    is_refusing_ = true;
     // A copy, because a response may close the connection and clear the queue. From the last to the
     // first, because a response that is held back begins when the earlier ones are complete.
     auto exchanges = exchanges_;
-    for (auto& entry : std::views::reverse(exchanges)) {
-        entry.exchange->respond_now();
+    for (auto it = exchanges.rbegin(); it != exchanges.rend(); ++it) {
+        it->exchange->respond_now();
     }
 }
 
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -26,6 +26,7 @@
     /// is closed at once when `closes_idle` is set.
     auto shut_down(bool closes_idle) -> void;
     /// Sends a final response to every request in progress, because the process is about to end.
+    /// Later requests are refused without being executed.
     auto respond_now() -> void;
     /// Closes the connection when the caller exceeded a timeout.
     auto check_timeouts(time_point now) -> void;
@@ -75,6 +76,8 @@
     /// The caller asked to close the connection after the request in `receiving_`.
     bool is_current_request_last_{false};
     bool is_shutting_down_{false};
+    /// No request is executed any more, because the process is about to end.
+    bool is_refusing_{false};
     bool is_input_paused_{false};
     bool is_sending_responses_{false};
     /// Reading the response at the front of the queue is paused.
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -107,6 +107,65 @@
     BOOST_TEST(incomplete->received.find("Retry-After: ") != std::string::npos);
 }
 
+// Guards against cutting requests without a response that arrive during the grace period and cannot
+// end within it, and against running one that may not be repeated a second time.
+BOOST_AUTO_TEST_CASE(responds_to_requests_that_arrive_late_in_the_grace_period)
+{
+    settings.shutdown_grace = milliseconds{1900};
+    start();
+    hold_plain_requests();
+    instance->shut_down();
+    run_for(milliseconds{500});
+    auto read = connect();
+    read->send(request("/read/1", "r1"));
+    auto write = connect();
+    write->send(request("/write/2", "r2"));
+    run_until([&] { return waiting.size() == 2; });
+    run_until([&] { return instance->is_finished(); });
+    read->receive();
+    write->receive();
+    BOOST_TEST(status(read->received) == "504");
+    BOOST_TEST(status(write->received) == "504");
+    BOOST_TEST(plain_server_1.executed_request_ids.size() +
+                   plain_server_2.executed_request_ids.size() ==
+               2U);
+}
+
+// Guards against passing on a request that arrives after every request got its final response: the
+// process ends before the server can respond, and the caller may not repeat it.
+BOOST_AUTO_TEST_CASE(refuses_requests_that_arrive_too_late_to_be_executed)
+{
+    settings.shutdown_grace = milliseconds{1900};
+    start();
+    hold_plain_requests();
+    auto running = connect();
+    running->send(request("/read/1", "r1"));
+    run_until([&] { return waiting.size() == 1; });
+    // A response in progress keeps the connection of the late request open.
+    auto late = connect();
+    late->send(request("/read/2", "r2"));
+    run_until([&] { return waiting.size() == 2; });
+    auto whole = plain_server_1.valid_response(waiting[1], std::string(90'000, 'x'));
+    waiting[1].send(whole.substr(0, 40'000));
+    run_until([&] {
+        late->receive();
+        return !late->received.empty();
+    });
+    instance->shut_down();
+    run_until([&] {
+        running->receive();
+        return status(running->received + std::string(12, ' ')) == "504";
+    });
+    late->send(request("/write/3", "r3"));
+    run_for(milliseconds{30});
+    BOOST_TEST(waiting.size() == 2U);
+    waiting[1].send(whole.substr(40'000));
+    run_until([&] { return !late->receive(); });
+    auto refusal = late->received.substr(late->received.rfind("HTTP/1.1 "));
+    BOOST_TEST(status(refusal) == "503");
+    BOOST_TEST(refusal.find("Retry-After: ") != std::string::npos);
+}
+
 // Guards against a reset of the connection, which can discard a response that the caller has not
 // read yet.
 BOOST_AUTO_TEST_CASE(does_not_reset_a_connection_with_bytes_after_the_last_request)
