Test that responses without end leave the requests of other callers alone

Report of another operator: a faulty server sent bytes without end, and the requests of other callers on the machine ended with the process. endless_bytes_test covers the bounds of a head, a body and a refusal; the new case has bodies without end that no caller reads or that wait behind an earlier response, beside requests of others. The memory of the process is not measured.

--- a/tests/gateway/endless_bytes_test.cpp
+++ b/tests/gateway/endless_bytes_test.cpp
@@ -118,6 +118,29 @@
     run_until([&] { return are_all_closed(); });
 }
 
+// Guards against requests of other callers that end because the memory or time of the process is
+// used for responses without end, some of which no caller reads or wait behind an earlier response.
+BOOST_AUTO_TEST_CASE(responds_to_other_requests_beside_responses_without_end)
+{
+    constexpr int endless_callers = 3;
+    settings.response_limits.max_bytes_without_length = std::size_t{1} << 40U;
+    start();
+    respond_endlessly(head_without_length, "1000\r\n" + std::string(4096, 'x') + "\r\n");
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int n = 0; n < endless_callers; ++n) {
+        callers.push_back(connect());
+        auto id = "e" + std::to_string(n);
+        callers.back()->send(request("/read/1", id) + request("/read/2", id + "-next"));
+    }
+    run_until([&] { return waiting.size() >= 3; });
+    for (int n = 0; n < 50; ++n) {
+        auto response = call(request("/keyed/1", "r" + std::to_string(n), key_header(5)));
+        BOOST_TEST(status(response) == "200");
+        run_for(milliseconds{20});
+    }
+    run_until([&] { return are_all_closed(); });
+}
+
 BOOST_AUTO_TEST_CASE(gives_up_endless_responses_to_other_requests)
 {
     start();
