--- a/tests/ownership/lease_fixture.h
+++ b/tests/ownership/lease_fixture.h
@@ -166,6 +166,14 @@
         run(authority, milliseconds{100});
     }
 
+    /// An authority in its first term, with server `a` as the owner of all keys.
+    auto make_started_authority() -> std::unique_ptr<range_authority>
+    {
+        auto authority = make_authority();
+        start(*authority);
+        return authority;
+    }
+
     /// Runs the coordinator until the store names the target of a move, and returns that record.
     auto run_until_move_is_recorded(range_authority& authority) -> coordinator_record
     {
--- a/tests/ownership/range_authority_test.cpp
+++ b/tests/ownership/range_authority_test.cpp
@@ -12,8 +12,7 @@
 BOOST_AUTO_TEST_CASE(keeps_a_lease_by_renewing_it)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     fixture.run(*authority, seconds{20});
     BOOST_TEST(owner_of(*authority, 5000, fixture) == "a");
     BOOST_TEST(fixture.servers.at(server_id{"a"}).holds(5000));
@@ -24,8 +23,7 @@
 BOOST_AUTO_TEST_CASE(moves_part_of_a_range_without_two_holders)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     authority->move({1000, 1999}, server_id{"b"}, fixture.time.now());
     fixture.run(*authority, milliseconds{100});
     BOOST_TEST(owner_of(*authority, 1000, fixture) == "b");
@@ -40,8 +38,7 @@
 BOOST_AUTO_TEST_CASE(frees_all_ranges_of_a_server_whose_address_another_server_uses)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     authority->move({1000, 1999}, server_id{"b"}, fixture.time.now());
     authority->move({5000, 5999}, server_id{"b"}, fixture.time.now());
     fixture.run(*authority, milliseconds{100});
@@ -56,8 +53,7 @@
 BOOST_AUTO_TEST_CASE(ignores_a_renewal_that_a_partial_release_overtook)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     // The renewal is in flight when a part of the range is moved.
     fixture.time.advance(seconds{1});
     authority->confirm(fixture.time.now());
@@ -78,8 +74,7 @@
 BOOST_AUTO_TEST_CASE(releases_no_keys_while_a_renewal_of_them_is_in_flight)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     fixture.time.advance(seconds{1});
     authority->confirm(fixture.time.now());
     authority->tick(fixture.time.now());
@@ -101,8 +96,7 @@
 BOOST_AUTO_TEST_CASE(renews_no_lease_until_a_dropped_move_is_recorded)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     fixture.is_store_writable = false;
     authority->move({0, 65'535}, server_id{"b"}, fixture.time.now());
     authority->set_servers({{server_id{"a"}, 1}, {server_id{"c"}, 1}}, fixture.time.now());
@@ -122,8 +116,7 @@
 BOOST_AUTO_TEST_CASE(waits_until_the_lease_has_certainly_expired)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     fixture.unreachable.insert(server_id{"a"});
     authority->move({0, 65'535}, server_id{"b"}, fixture.time.now());
     fixture.run(*authority, seconds{3});
@@ -141,8 +134,7 @@
 BOOST_AUTO_TEST_CASE(grants_again_only_after_the_record_no_longer_names_the_server)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     fixture.is_store_writable = false;
     fixture.unreachable.insert(server_id{"a"});
     authority->move({0, 65'535}, server_id{"b"}, fixture.time.now());
@@ -172,8 +164,7 @@
 BOOST_AUTO_TEST_CASE(leaves_the_keys_with_the_new_process_under_a_higher_token)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     fixture.servers.at(server_id{"a"}).restart();
     // A renewal reaches the new process before service discovery reports the restart.
     fixture.run(*authority, milliseconds{1500});
@@ -189,8 +180,7 @@
 BOOST_AUTO_TEST_CASE(moves_the_keys_at_once_when_another_server_uses_the_address)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     fixture.servers.at(server_id{"a"}).restart();
     authority->on_server_ended(server_id{"a"}, 1, fixture.time.now());
     authority->move({0, 65'535}, server_id{"b"}, fixture.time.now());
@@ -205,8 +195,7 @@
 BOOST_AUTO_TEST_CASE(renews_the_recorded_leases_at_once)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     first->stop();
     auto next = fixture.make_successor(fixture.stored, 1000);
     fixture.run(*next, milliseconds{100});
@@ -218,8 +207,7 @@
 BOOST_AUTO_TEST_CASE(moves_nothing_while_a_predecessor_may_renew)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     auto next = fixture.make_successor(fixture.stored, 1000);
     fixture.run(*next, milliseconds{300});
     next->move({0, 65'535}, server_id{"b"}, fixture.time.now());
@@ -237,8 +225,7 @@
 BOOST_AUTO_TEST_CASE(completes_a_move_that_its_predecessor_recorded)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     first->move({0, 65'535}, server_id{"b"}, fixture.time.now());
     auto recorded = fixture.run_until_move_is_recorded(*first);
     fixture.run(*first, milliseconds{100});
@@ -261,8 +248,7 @@
 BOOST_AUTO_TEST_CASE(completes_a_move_that_its_predecessor_did_not_begin)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     first->move({0, 65'535}, server_id{"b"}, fixture.time.now());
     auto recorded = fixture.stored;
     recorded.ranges = first->ranges_to_record();
@@ -282,8 +268,7 @@
 BOOST_AUTO_TEST_CASE(waits_for_a_target_that_its_predecessor_may_have_granted)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     first->move({0, 65'535}, server_id{"b"}, fixture.time.now());
     auto recorded = fixture.run_until_move_is_recorded(*first);
     fixture.run(*first, milliseconds{100});
@@ -304,8 +289,7 @@
 BOOST_AUTO_TEST_CASE(does_not_take_a_reused_address_for_the_end_of_every_process_of_the_owner)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     first->stop();
     auto next = fixture.make_successor(fixture.stored, 1000, false);
     next->on_server_ended(server_id{"a"}, 1, fixture.time.now());
@@ -327,8 +311,7 @@
 BOOST_AUTO_TEST_CASE(keeps_unrecorded_owners_that_its_predecessor_reports)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     auto recorded = fixture.stored;
     recorded.names_all_holders = false;
     first->move({1000, 1999}, server_id{"b"}, fixture.time.now());
@@ -357,8 +340,7 @@
 BOOST_AUTO_TEST_CASE(grants_nothing_while_an_unrecorded_owner_may_hold_the_keys)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     auto recorded = fixture.stored;
     recorded.names_all_holders = false;
     first->move({0, 65'535}, server_id{"b"}, fixture.time.now());
@@ -383,8 +365,7 @@
 BOOST_AUTO_TEST_CASE(accepts_a_late_report_of_its_predecessor)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     auto recorded = fixture.stored;
     recorded.names_all_holders = false;
     first->move({1000, 1999}, server_id{"b"}, fixture.time.now());
@@ -407,8 +388,7 @@
 BOOST_AUTO_TEST_CASE(ignores_a_report_of_a_free_range_after_it_sent_a_renewal)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     first->stop();
     fixture.time.advance(milliseconds{3500});
 
@@ -435,8 +415,7 @@
 BOOST_AUTO_TEST_CASE(is_not_overtaken_by_a_move_of_its_cut_off_predecessor)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     auto second = fixture.make_successor(fixture.stored, 1000);
     fixture.run(*second, milliseconds{300});
     BOOST_TEST(owner_of(*second, 5000, fixture) == "a");
@@ -461,8 +440,7 @@
 BOOST_AUTO_TEST_CASE(grants_nothing_after_a_refusal_until_its_role_is_confirmed)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     auto next = fixture.make_successor(fixture.stored, 1000);
     fixture.run(*next, milliseconds{300});
     next->stop();
@@ -478,8 +456,7 @@
 BOOST_AUTO_TEST_CASE(keeps_its_own_grants_when_its_predecessor_reports_late)
 {
     lease_fixture fixture;
-    auto first = fixture.make_authority();
-    fixture.start(*first);
+    auto first = fixture.make_started_authority();
     auto transferred = first->transfer(fixture.time.now());
     first->stop();
 
@@ -500,8 +477,7 @@
 BOOST_AUTO_TEST_CASE(renews_for_a_bounded_time_and_moves_nothing)
 {
     lease_fixture fixture;
-    auto authority = fixture.make_authority();
-    fixture.start(*authority);
+    auto authority = fixture.make_started_authority();
     fixture.run(*authority, milliseconds{3100}, false);
     BOOST_TEST(!authority->may_plan(fixture.time.now()));
     fixture.run(*authority, seconds{3}, false);
