--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -116,8 +116,7 @@
 ///   lease is not renewed once the move may be recorded, so a successor that reads the record may
 ///   complete the move.
 /// - A recorded owner keeps its keys, under a higher token, whichever process of it answers.
-/// - While earlier coordinators can act, leases are renewed and recorded moves are completed, but
-/// no
+/// - While earlier coordinators can act, leases are renewed and recorded moves are completed. No
 ///   further owner changes.
 /// - Fencing tokens only increase. A release carries a higher token than the lease, so the process
 ///   that answered it refuses earlier grants.
