Destroy the handler of a timer before the next timer is taken

Cause: the event loop took the next timer while the handler of the last one still existed. Handlers may hold the last reference to an object whose destructor cancels timers; if it canceled the next one, the loop ran and removed a freed node. Canceling a timer whose handler owns it removed a node twice, and the end of the loop had the same fault.

Both cases of event_loop_test.cpp end with an access violation on the parent commit and pass now; test_adapters passes.

--- a/adapters/h2o/event_loop.cpp
+++ b/adapters/h2o/event_loop.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 namespace cornelswitch {
 
@@ -41,8 +42,10 @@
 
 event_loop::~event_loop()
 {
-    timers_.clear();
-    posted_.clear();
+    // Moved out first, because objects that the handlers hold may cancel timers when they end.
+    timer_due_.clear();
+    std::exchange(timers_, {}).clear();
+    std::exchange(posted_, {}).clear();
     wakeup_.reset();
     run_socket_callbacks();
     // Closed sockets are freed in the loop's next iterations; h2o_evloop_destroy fails on them.
@@ -111,7 +114,8 @@
     if (it == timer_due_.end()) {
         return;
     }
-    timers_.erase(timer_key{it->second, timer});
+    // The handler is destroyed last, because what it holds may cancel timers, this one included.
+    auto removed = timers_.extract(timer_key{it->second, timer});
     timer_due_.erase(it);
 }
 
@@ -137,10 +141,13 @@
             ++it;
             continue;
         }
-        auto work = std::move(it->second);
-        timer_due_.erase(it->first.id);
-        timers_.erase(it);
-        work();
+        {
+            auto work = std::move(it->second);
+            timer_due_.erase(it->first.id);
+            timers_.erase(it);
+            work();
+        }
+        // After the handler is destroyed, because what it holds may cancel the next timer.
         it = timers_.begin();
     }
 }
