Authenticate callers by the API keys of workspaces

Cause: the gateway knew no workspaces. It forwarded every request, with the caller's key and whatever workspace header the caller had written, and ran requests whose key no configuration holds.

Change: a configuration may list workspaces with API keys and a priority, and public routes. Requests to other routes need a key; 401 otherwise. The server is told the workspace and never gets the key. A workspace's priority goes before its route's. Without the list nothing changes.

--- a/gateway/caller_exchange.cpp
+++ b/gateway/caller_exchange.cpp
@@ -21,6 +21,9 @@
 constexpr std::uint32_t max_admissions = 4;
 /// Retry-After time of a response when the scheduler gave none.
 constexpr duration default_retry_after = milliseconds{250};
+/// Priorities of routes are below this. The priority of a workspace goes before the one of the
+/// route.
+constexpr std::uint32_t route_priorities = 256;
 /// A retry is not attempted with less time left than this.
 constexpr duration min_time_for_retry = milliseconds{60};
 
@@ -65,6 +68,9 @@
         respond(404, "no-route", std::nullopt);
         return false;
     }
+    if (!authenticate()) {
+        return false;
+    }
     service_ = services_.choose_target(*route_);
     auto service = configuration_->content.services.find(service_);
     is_keyed_ = service != configuration_->content.services.end() && service->second.is_keyed;
@@ -78,6 +84,31 @@
     return true;
 }
 
+auto caller_exchange::authenticate() -> bool
+{
+    const auto& workspaces = configuration_->workspaces;
+    if (!workspaces || route_->is_public) {
+        return true;
+    }
+    workspace_ = workspaces->find(info_.api_key);
+    if (workspace_ == nullptr) {
+        services_.metrics.count("unknown_api_keys_total");
+        respond(401, info_.api_key.empty() ? "no-api-key" : "unknown-api-key", std::nullopt);
+        return false;
+    }
+    return true;
+}
+
+auto caller_exchange::priority() const -> std::uint32_t
+{
+    if (!configuration_->workspaces) {
+        return route_->priority;
+    }
+    auto first =
+        workspace_ != nullptr ? workspace_->priority.value_or(route_->priority) : route_->priority;
+    return first * route_priorities + std::min(route_->priority, route_priorities - 1);
+}
+
 auto caller_exchange::run() -> void
 {
     if (phase_ == phase::done) {
@@ -105,7 +136,7 @@
         request.key = info_.key;
     }
     request.work = route_work_class(route_->name);
-    request.priority = route_->priority;
+    request.priority = priority();
     request.has_large_response = route_->kind == request_kind::download;
     request.received = received_;
     request.objective = objective_;
@@ -175,7 +206,11 @@
     request.max_idle = is_idempotent() ? max_idle_idempotent : max_idle_non_idempotent;
     bool has_body = head_.framing != body_framing::none || !body_.empty();
     auto length = has_body ? std::optional<std::uint64_t>{body_.size()} : std::nullopt;
-    request.bytes = encode_server_request(head_, server, time_left(), length);
+    std::optional<forwarded_identity> identity;
+    if (configuration_->workspaces) {
+        identity = forwarded_identity{workspace_ != nullptr ? workspace_->name.value() : ""};
+    }
+    request.bytes = encode_server_request(head_, server, time_left(), length, identity);
     request.bytes.append(body_);
     sent_at_ = services_.loop.now();
     std::weak_ptr<caller_exchange> weak = weak_from_this();
@@ -482,6 +517,9 @@
         }
         services_.metrics.observe("request_ms", route_->name, total);
     }
+    if (workspace_ != nullptr) {
+        line.text("workspace", workspace_->name.value());
+    }
     if (info_.key && is_keyed_) {
         line.number("key", *info_.key);
     }
--- a/gateway/caller_exchange.h
+++ b/gateway/caller_exchange.h
@@ -6,6 +6,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/node_settings.h"
 #include "gateway/server_pool.h"
+#include "gateway/workspace_directory.h"
 
 #include <functional>
 #include <memory>
@@ -19,6 +20,8 @@
 struct active_configuration {
     gateway_configuration content;
     route_table routes;
+    /// Set when requests need an API key.
+    std::optional<workspace_directory> workspaces;
 };
 
 /// Parts of the gateway that exchanges use.
@@ -83,6 +86,10 @@
     enum class phase : std::uint8_t { reading, waiting, sending, responding, done };
 
     auto route() -> bool;
+    /// Finds the workspace of the request's API key. Responds and returns false when the route
+    /// needs a key and no workspace holds the one that was sent.
+    auto authenticate() -> bool;
+    auto priority() const -> std::uint32_t;
     auto request_admission() -> void;
     auto on_decision(const admission_decision& decision) -> void;
     auto send(const server_id& server) -> void;
@@ -125,6 +132,8 @@
     caller_request_info info_;
     std::shared_ptr<const active_configuration> configuration_;
     const gateway_route* route_{nullptr};
+    /// Workspace of the caller; null on public routes and when requests need no API key.
+    const workspace* workspace_{nullptr};
     service_id service_;
     bool is_keyed_{false};
     phase phase_{phase::reading};
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -111,6 +111,8 @@
     exchange_services services_;
     runtime_context context_;
     std::shared_ptr<const active_configuration> configuration_;
+    /// Computes the digests of API keys; null until a configuration holds some.
+    std::shared_ptr<const keyed_digest> api_key_digest_;
     std::unordered_map<std::string, weighted_round_robin_state> target_selection_;
     std::map<service_id, std::unique_ptr<service_runtime>> runtimes_;
 
--- a/gateway/gateway_configuration.h
+++ b/gateway/gateway_configuration.h
@@ -2,10 +2,12 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "gateway/workspace.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -42,6 +44,8 @@
     /// Number of times that one request may be sent to servers.
     std::uint32_t max_attempts{1};
     std::vector<weighted_service> targets;
+    /// Requests need no API key.
+    bool is_public{false};
 };
 
 struct gateway_service {
@@ -75,6 +79,9 @@
     std::vector<gateway_route> routes;
     std::map<service_id, gateway_service> services;
     caller_limits limits;
+    /// Set when requests need an API key. The definitions are moved to a `workspace_directory`
+    /// before the configuration is used.
+    std::optional<std::vector<workspace_definition>> workspaces;
 };
 
 /// Finds routes by host and longest path prefix.
--- a/gateway/gateway_store.cpp
+++ b/gateway/gateway_store.cpp
@@ -69,6 +69,16 @@
     if (configuration_ && next.version <= configuration_->content.version) {
         return;
     }
+    auto active = std::make_shared<active_configuration>();
+    if (next.workspaces && !api_key_digest_) {
+        auto digest = keyed_digest::create();
+        if (digest.has_error()) {
+            // Without digests no key can be checked, so the version cannot be used.
+            log_.line("configuration-unusable").text("cause", digest.error().message);
+            return;
+        }
+        api_key_digest_ = std::move(digest.value());
+    }
     log_.line("configuration")
         .number("version", static_cast<std::int64_t>(next.version))
         .number("earlier",
@@ -77,8 +87,13 @@
         .ms("age_ms", loop_.now() - replicator_.operators().last_read())
         .text("source", replicator_.source_of(shared_topic::operators))
         .number("routes", static_cast<std::int64_t>(next.routes.size()))
-        .number("services", static_cast<std::int64_t>(next.services.size()));
-    auto active = std::make_shared<active_configuration>();
+        .number("services", static_cast<std::int64_t>(next.services.size()))
+        .number("workspaces",
+                next.workspaces ? static_cast<std::int64_t>(next.workspaces->size()) : 0);
+    if (next.workspaces) {
+        active->workspaces.emplace(std::move(*next.workspaces), api_key_digest_);
+        next.workspaces.reset();
+    }
     active->routes = route_table{next.routes};
     active->content = std::move(next);
     configuration_ = active;
