Take a reused address for the end of the process that had it

Cause: when servers end without notice, their keys stayed with them until the last lease had expired, up to 6 s, although service discovery showed other processes at their addresses after 2 s. The platform assigns an address again only after its process has ended, but nothing compared addresses. Requests in progress waited for responses that could not come.

Change: the directory removes a server when a process that started later registers its address, and reports the end to the range authority, which frees the keys by its existing rules. Attempts in progress at that server fail at once.

Result: new cases in backend_directory_test and gateway_test.

--- a/gateway/backend_directory.cpp
+++ b/gateway/backend_directory.cpp
@@ -80,6 +80,47 @@
     }
     servers_.insert_or_assign(entry.id, std::move(next));
     revision_ += is_changed ? 1 : 0;
+    if (!is_same) {
+        remove_replaced(entry, now);
+    }
+}
+
+auto backend_directory::remove_replaced(const backend_entry& successor, time_point now) -> void
+{
+    std::vector<backend_entry> ended;
+    for (auto it = servers_.begin(); it != servers_.end();) {
+        const auto& other = it->second.entry;
+        // The platform assigns an address again only after the process that had it has ended. An
+        // incarnation of 0 is unknown.
+        bool is_replaced = other.id != successor.id && other.address == successor.address &&
+                           other.incarnation.value() > 0 &&
+                           other.incarnation < successor.incarnation;
+        auto current = it++;
+        if (is_replaced) {
+            log_.line("server-replaced")
+                .text("server", other.id.value())
+                .text("service", other.service.value())
+                .text("successor", successor.id.value())
+                .ms("age_ms", now - current->second.last_heartbeat_at);
+            ended.push_back(other);
+            erase(current);
+        }
+    }
+    for (const auto& it : ended) {
+        if (on_ended_) {
+            on_ended_(it.service, it.id, it.incarnation.value());
+        }
+    }
+}
+
+auto backend_directory::erase(std::map<server_id, directory_server>::iterator it) -> void
+{
+    if (removed_servers_.size() >= max_removed_servers) {
+        removed_servers_.clear();
+    }
+    removed_servers_[it->first] = {it->second.entry.incarnation, it->second.entry.sequence};
+    servers_.erase(it);
+    ++revision_;
 }
 
 auto backend_directory::remove(const std::string& id, time_point now) -> void
@@ -99,12 +140,7 @@
         .text("server", id)
         .text("service", it->second.entry.service.value())
         .ms("age_ms", now - it->second.last_heartbeat_at);
-    if (removed_servers_.size() >= max_removed_servers) {
-        removed_servers_.clear();
-    }
-    removed_servers_[it->first] = {it->second.entry.incarnation, it->second.entry.sequence};
-    servers_.erase(it);
-    ++revision_;
+    erase(it);
 }
 
 auto backend_directory::set_cold(const server_id& id, duration cold_left, time_point now) -> void
--- a/gateway/backend_directory.h
+++ b/gateway/backend_directory.h
@@ -5,6 +5,7 @@
 #include "routing/admission_scheduler.h"
 #include "routing/server_notices.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,8 +40,15 @@
     /// Time for which a server that leaves still serves its keys, while they are moved.
     static constexpr duration key_drain_time = server_notices::key_drain_time;
 
+    using ended_callback =
+        std::function<void(const service_id&, const server_id&, std::int64_t incarnation)>;
+
     explicit backend_directory(event_log& log) : log_{log} {}
 
+    /// `on_ended` receives each server whose process is known to have ended, because a process that
+    /// started later has registered the same address.
+    auto set_on_ended(ended_callback on_ended) -> void { on_ended_ = std::move(on_ended); }
+
     /// Applies the newest record of a server; an empty value removes the server.
     auto apply(const std::string& id, const std::string& value, time_point now) -> void;
     /// A server reported in a health check how long it stays cold.
@@ -74,8 +82,12 @@
 private:
     auto is_evacuated(const backend_entry& it) const -> bool;
     auto remove(const std::string& id, time_point now) -> void;
+    /// Removes the servers whose address `successor` has taken over.
+    auto remove_replaced(const backend_entry& successor, time_point now) -> void;
+    auto erase(std::map<server_id, directory_server>::iterator it) -> void;
 
     event_log& log_;
+    ended_callback on_ended_;
     std::map<server_id, directory_server> servers_;
     server_notices notices_;
     /// Newest incarnation and sequence of each removed server, so that a late record of an earlier
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -73,6 +73,13 @@
       context_{make_runtime_context()}
 {
     ownership_.set_copy(replicator_.coordination());
+    directory_.set_on_ended(
+        [this](const service_id& service, const server_id& server, std::int64_t incarnation) {
+            if (auto* target = runtime(service)) {
+                target->on_server_replaced(server, incarnation);
+            }
+            pool_.abandon(server);
+        });
 }
 
 auto gateway::mesh_hooks() -> peer_mesh::hooks
--- a/gateway/server_pool.cpp
+++ b/gateway/server_pool.cpp
@@ -104,6 +104,17 @@
         return std::ranges::find(rejected_ids_, id) != rejected_ids_.end();
     }
 
+    /// The server's process has ended. The handlers run later.
+    auto abandon() -> void
+    {
+        pool_.loop_.schedule(duration::zero(), [self = shared_from_this()] {
+            if (*self->alive_ && self->is_active_ && !self->is_closed_) {
+                self->fail(self->stream_ ? attempt_outcome::broken : attempt_outcome::unreachable,
+                           "another server has the address");
+            }
+        });
+    }
+
     auto server() const -> const server_id& { return server_; }
     auto idle_since() const -> time_point { return idle_since_; }
     auto max_idle() const -> duration { return max_idle_; }
@@ -378,6 +389,15 @@
     active_.erase(closed);
 }
 
+auto server_pool::abandon(const server_id& server) -> void
+{
+    for (auto& [raw, active] : active_) {
+        if (active->server() == server) {
+            active->abandon();
+        }
+    }
+}
+
 auto server_pool::tick(time_point now, const std::function<bool(const server_id&)>& is_known)
     -> void
 {
--- a/gateway/server_pool.h
+++ b/gateway/server_pool.h
@@ -95,6 +95,9 @@
         -> std::shared_ptr<server_attempt>;
     /// Closes connections that were idle for too long and idle connections to unknown servers.
     auto tick(time_point now, const std::function<bool(const server_id&)>& is_known) -> void;
+    /// Fails the attempts at a server whose process has ended; their responses cannot arrive any
+    /// more.
+    auto abandon(const server_id& server) -> void;
     auto totals() const -> const counters& { return counters_; }
 
 private:
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -352,6 +352,13 @@
     }
 }
 
+auto service_runtime::on_server_replaced(const server_id& server, std::int64_t incarnation) -> void
+{
+    if (ranges_) {
+        ranges_->authority().on_server_ended(server, incarnation, context_.time.now());
+    }
+}
+
 auto service_runtime::on_server_leaving(const server_id& server, std::int64_t incarnation) -> void
 {
     if (auto coordinator = reachable_coordinator()) {
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -89,6 +89,8 @@
     auto on_key_not_held(const server_id& server, std::uint16_t key) -> void;
     /// Another server answered at the address of `server`, so `server` has ended.
     auto on_server_ended(const server_id& server, std::int64_t incarnation) -> void;
+    /// Service discovery shows that the process of `server` has ended, which every instance sees.
+    auto on_server_replaced(const server_id& server, std::int64_t incarnation) -> void;
     /// A server announced its shutdown to this instance; passes that on to the coordinator.
     auto on_server_leaving(const server_id& server, std::int64_t incarnation) -> void;
     /// Counts a health check against the rate limit of a server. Returns false if the limit leaves
--- a/tests/gateway/backend_directory_test.cpp
+++ b/tests/gateway/backend_directory_test.cpp
@@ -118,6 +118,29 @@
     BOOST_TEST(server() != nullptr);
 }
 
+// Guards against requests and key leases that wait for a server whose address another process has
+// taken over: the platform assigns an address again only after its process has ended.
+BOOST_AUTO_TEST_CASE(removes_a_server_whose_address_a_later_process_registers)
+{
+    std::vector<std::string> ended;
+    directory.set_on_ended([&](const service_id& service, const server_id& id, std::int64_t born) {
+        ended.push_back(service.value() + " " + id.value() + " " + std::to_string(born));
+    });
+    apply(entry(5, 1000));
+    // The entry of an earlier process may be read late.
+    directory.apply("early", entry(1, 900), time.now());
+    directory.apply("unknown-start", entry(1, 0), time.now());
+    BOOST_TEST(server() != nullptr);
+    BOOST_TEST(ended.empty());
+
+    directory.apply("later", entry(1, 2000), time.now());
+    BOOST_TEST(server() == nullptr);
+    BOOST_TEST(ended == (std::vector<std::string>{"s a 1000", "s early 900"}));
+    // A late heartbeat of the ended process does not bring it back.
+    apply(entry(5, 1000));
+    BOOST_TEST(server() == nullptr);
+}
+
 // Guards against full load on servers that turned cold while their zone was evacuated, before a
 // heartbeat has reported it.
 BOOST_AUTO_TEST_CASE(presumes_the_servers_of_a_returning_zone_to_be_cold)
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -356,6 +356,30 @@
     BOOST_TEST(plain_server_1.executed_request_ids.size() == 1U);
 }
 
+// Guards against requests that wait for the response of a process that has ended without notice.
+BOOST_AUTO_TEST_CASE(ends_the_attempts_at_a_server_whose_address_is_taken_over)
+{
+    start();
+    hold_plain_requests();
+    auto connection = connect();
+    connection->send(request("/write/1", "r1"));
+    run_until([&] { return waiting.size() == 1; });
+    auto is_first = fake_backend::header(waiting[0], "x-expect-instance") == "a";
+    auto& ended = is_first ? plain_server_1 : plain_server_2;
+    auto successor = ended.entry("plain");
+    successor.replace(successor.find("1700000000000"), 13, "1700000009000");
+    auto started = loop.now();
+    store.put("keyed.servers", "successor", successor);
+    run_until([&] {
+        connection->receive();
+        return is_whole(connection->received);
+    });
+    // The request may have run, and is not sent again.
+    BOOST_TEST(status(connection->received) == "502");
+    BOOST_TEST((loop.now() - started < milliseconds{1000}));
+    BOOST_TEST(waiting.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(moves_the_keys_of_a_server_that_announced_its_shutdown_in_a_response)
 {
     start();
