Let requests wait for moving keys by an honest estimate

Cause: a key whose range was being released counted as free in 800 ms, so with an objective of 1 s nearly all requests for moving keys were refused at once, as overload; one late request could wait for all moving keys together.

Change: the authority expects a release after the mean time of earlier ones, or when the lease ends if the owner does not answer. Requests for moving keys wait, and are limited, by range. Their refusals name no-owner and the time until the keys can be served.

--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -89,13 +89,13 @@
     auto now = context_.time.now();
     if (ranges_) {
         auto found = ranges_->authority().find(key, now);
-        return {found.owner, found.free_at};
+        return {found.owner, found.free_at, found.keys.first};
     }
     auto it = recorded_ranges_.upper_bound(key);
     if (it == recorded_ranges_.begin() || !std::prev(it)->second.keys.contains(key)) {
-        return {std::nullopt, now + milliseconds{500}};
+        return {std::nullopt, now + milliseconds{500}, key};
     }
-    return {std::prev(it)->second.owner, now};
+    return {std::prev(it)->second.owner, now, std::prev(it)->first};
 }
 
 auto service_runtime::update_servers(time_point now) -> void
--- a/ownership/leased_range.h
+++ b/ownership/leased_range.h
@@ -50,6 +50,9 @@
     fencing_token release_token;
     /// The owner confirmed the release, or its process has ended.
     bool is_released{false};
+    time_point release_started_at{};
+    /// A release call got no usable answer, so the keys are free only when the lease has expired.
+    bool is_release_failing{false};
     /// State that the owner returned with its release; passed on with the next grant.
     std::string handover;
     /// Former owner, for log lines.
--- a/ownership/range_authority.cpp
+++ b/ownership/range_authority.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t max_ranges_per_server = 6;
 /// A server clock that runs 2% slow extends a lease by its duration divided by this.
 constexpr int slow_clock_divisor = 50;
+/// A release that takes longer than the mean is expected to take the elapsed time divided by this
+/// more.
+constexpr int elapsed_per_rest = 2;
 
 } // namespace
 
@@ -59,6 +62,18 @@
            settings_.expiry_margin;
 }
 
+auto range_authority::expected_release(const range& it, time_point now) const -> time_point
+{
+    if (it.is_release_failing) {
+        return std::max(now, it.release_expires_at);
+    }
+    // The longer the requests on the keys have taken, the longer they are likely to take further.
+    auto elapsed = now - it.release_started_at;
+    auto expected =
+        std::max(it.release_started_at + mean_release_time_, now + elapsed / elapsed_per_rest);
+    return std::clamp(expected, now, std::max(now, it.release_expires_at));
+}
+
 auto range_authority::may_plan(time_point now) const -> bool
 {
     bool is_record_late =
@@ -348,6 +363,8 @@
     it.release_expires_at = expiry_of(it.last_grant);
     it.release_token = allocate_token();
     it.is_released = false;
+    it.release_started_at = now;
+    it.is_release_failing = false;
     it.handover.clear();
     set_phase(it, range_phase::releasing, "recorded");
     advance_releasing(it, now);
@@ -465,6 +482,9 @@
     case range_phase::recording:
         if (is_confirmed) {
             out.owner = found.owner;
+        } else if (found.is_granted) {
+            // The owner does not answer; its keys are free when its last lease has expired.
+            out.free_at = std::max(out.free_at, expiry_of(found.last_grant));
         }
         break;
     case range_phase::granting:
@@ -475,7 +495,7 @@
         }
         break;
     case range_phase::releasing:
-        out.free_at = std::clamp(found.release_expires_at, now, now + settings_.call_timeout);
+        out.free_at = expected_release(found, now);
         break;
     case range_phase::waiting:
         out.free_at = found.free_at;
--- a/ownership/range_authority.h
+++ b/ownership/range_authority.h
@@ -234,6 +234,8 @@
     /// No server holds the keys any more.
     auto clear_owner(range& it, std::string_view event) -> void;
     auto expiry_of(time_point last_possible_grant) const -> time_point;
+    /// When the owner is expected to have released the range.
+    auto expected_release(const range& it, time_point now) const -> time_point;
     auto find_call(std::uint64_t call_id) -> range*;
     auto advance_range(range& it, time_point now) -> void;
     auto advance_held(range& it, time_point now) -> void;
@@ -265,6 +267,9 @@
     time_point record_wanted_at_{};
     std::uint64_t revision_{0};
     std::uint64_t recorded_revision_{0};
+    /// Moving mean of the time that a server takes to release a range, which it does when the
+    /// requests on the keys have ended.
+    duration mean_release_time_{std::chrono::milliseconds{300}};
     bool stopped_{false};
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
--- a/ownership/range_authority_calls.cpp
+++ b/ownership/range_authority_calls.cpp
@@ -6,6 +6,13 @@
 
 namespace cornelswitch {
 
+namespace {
+
+/// Weight of one release in the mean release time, as a divisor.
+constexpr int release_time_divisor = 10;
+
+} // namespace
+
 auto range_authority::register_call(range& it, time_point now) -> std::uint64_t
 {
     it.call_id = ++last_call_id_;
@@ -134,9 +141,14 @@
     bool has_ended = outcome.has_error() && outcome.error().code == error_code::not_found &&
                      it->granted_incarnation == it->call_incarnation;
     if (outcome.has_error() && !has_ended) {
+        it->is_release_failing = true;
         it->next_action = now + settings_.retry_delay;
         return;
     }
+    if (outcome.has_value()) {
+        auto time = now - it->release_started_at;
+        mean_release_time_ += (time - mean_release_time_) / release_time_divisor;
+    }
     it->handover = outcome.has_value() ? outcome.value() : std::string{};
     it->is_released = true;
     it->release_expires_at = now;
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -82,6 +82,7 @@
     auto found = owner_lookup_(*request.key);
     request.owner = std::move(found.server);
     request.owner_available_at = found.available_at;
+    request.first_key_of_range = found.first_key_of_range;
 }
 
 auto admission_scheduler::queue_for(const admission_request& request) -> wait_queue&
@@ -192,7 +193,7 @@
     const auto* queue = find_queue(request);
     if (follows_owner(request)) {
         if (!request.owner) {
-            return std::max(duration::zero(), request.owner_available_at - now);
+            return unowned_wait(request, now);
         }
         auto it = servers_.find(*request.owner);
         if (it == servers_.end()) {
@@ -223,6 +224,26 @@
                    usable_capacity_);
 }
 
+auto admission_scheduler::unowned_wait(const admission_request& request, time_point now) const
+    -> duration
+{
+    auto ahead = std::ranges::count_if(unowned_queue_, [&](const auto& other) {
+        return other.first_key_of_range == request.first_key_of_range &&
+               !is_sent_before(request, other);
+    });
+    auto until_owned = std::max(duration::zero(), request.owner_available_at - now);
+    return until_owned +
+           from_ms(to_ms(expected_work(request.work)) * static_cast<double>(ahead) / mean_slots_);
+}
+
+auto admission_scheduler::shortage_cause(const admission_request& request) const -> refusal_cause
+{
+    if (follows_owner(request) && !request.owner) {
+        return refusal_cause::no_owner;
+    }
+    return are_all_servers_limited(request) ? refusal_cause::rate_limit : refusal_cause::overload;
+}
+
 auto admission_scheduler::find_refusal(const admission_request& request, time_point now) const
     -> std::optional<refusal>
 {
@@ -278,10 +299,8 @@
     request.is_expected_late = now + wait + work > request.objective;
     if (now + wait + work > request.deadline ||
         (request.is_expected_late && remaining_late_capacity(request) == 0)) {
-        if (are_all_servers_limited(request)) {
-            return refusal{request, refusal_cause::rate_limit, wait};
-        }
-        return refusal{request, refusal_cause::overload, wait / 2};
+        auto cause = shortage_cause(request);
+        return refusal{request, cause, cause == refusal_cause::overload ? wait / 2 : wait};
     }
     return std::nullopt;
 }
@@ -289,16 +308,20 @@
 auto admission_scheduler::remaining_late_capacity(const admission_request& request) const
     -> std::size_t
 {
-    double slots = usable_capacity_;
-    if (follows_owner(request)) {
-        auto it = request.owner ? servers_.find(*request.owner) : servers_.end();
+    bool is_unowned = follows_owner(request) && !request.owner;
+    double slots = is_unowned ? mean_slots_ : usable_capacity_;
+    if (follows_owner(request) && request.owner) {
+        auto it = servers_.find(*request.owner);
         slots = it != servers_.end() ? it->second.info.slots : 1;
     }
     const auto* queue = find_queue(request);
     std::size_t late = 0;
     if (queue != nullptr) {
-        late = static_cast<std::size_t>(std::ranges::count_if(
-            *queue, [](const auto& it) { return it.is_late || it.is_expected_late; }));
+        late = static_cast<std::size_t>(std::ranges::count_if(*queue, [&](const auto& it) {
+            bool has_other_owner =
+                is_unowned && it.first_key_of_range != request.first_key_of_range;
+            return (it.is_late || it.is_expected_late) && !has_other_owner;
+        }));
     }
     auto max_late = static_cast<std::size_t>(std::max(1.0, slots)) * max_late_per_slot;
     return max_late > late ? max_late - late : 0;
@@ -548,7 +571,7 @@
             bool becomes_late = !it->is_late && now + estimate(*it, now) > it->objective;
             if (!refused && becomes_late && !it->is_expected_late &&
                 remaining_late_capacity(*it) == 0) {
-                refused = refusal{*it, refusal_cause::overload, expected_work(it->work)};
+                refused = refusal{*it, shortage_cause(*it), expected_work(it->work)};
             }
             if (refused) {
                 refusals.push_back(std::move(*refused));
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -64,6 +64,8 @@
     /// which the key may be served again.
     std::optional<server_id> owner;
     time_point owner_available_at{};
+    /// Set by the scheduler: identifies the keys that will get the same owner.
+    std::uint16_t first_key_of_range{0};
     /// Set by the scheduler: the response can no longer arrive before the objective.
     bool is_late{false};
     /// Set by the scheduler: on arrival the queue was already too long to meet the objective.
@@ -161,6 +163,8 @@
     std::optional<server_id> server;
     /// Earliest time at which a key without an owner may be served.
     time_point available_at{};
+    /// First key of the range of the key, which has one owner.
+    std::uint16_t first_key_of_range{0};
 };
 
 struct admission_settings {
@@ -362,6 +366,10 @@
     auto find_refusal_on_arrival(admission_request& request, time_point now) const
         -> std::optional<refusal>;
     auto has_server_for(const admission_request& request, time_point now) const -> bool;
+    /// Expected wait of a request whose key has no owner now.
+    auto unowned_wait(const admission_request& request, time_point now) const -> duration;
+    /// Cause of a refusal for want of room: the key has no owner, or all servers are limited.
+    auto shortage_cause(const admission_request& request) const -> refusal_cause;
     /// Number of further late requests that may wait in the queue of this one.
     auto remaining_late_capacity(const admission_request& request) const -> std::size_t;
     auto expected_wait(const admission_request& request, time_point now) const -> duration;
@@ -408,6 +416,8 @@
     std::map<std::pair<admission_source, server_id>, time_point> held_off_;
     /// Slots of all usable servers, weighted by the speed of their server, as of the last update.
     double usable_capacity_{0};
+    /// Mean slots of a server, for requests whose key will get an owner that is not known yet.
+    double mean_slots_{1};
     bool is_dispatching_{false};
     std::vector<queue_key> pending_dispatches_;
 };
--- a/routing/admission_scheduler_servers.cpp
+++ b/routing/admission_scheduler_servers.cpp
@@ -187,8 +187,10 @@
 auto admission_scheduler::update_capacity() -> void
 {
     usable_capacity_ = 0;
+    double all_slots = 0;
     double work_s = longest_work_ms() / 1000.0;
     for (const auto& [id, server] : servers_) {
+        all_slots += server.info.slots;
         if (!server.info.is_usable || server.is_suspect) {
             continue;
         }
@@ -198,6 +200,8 @@
         }
         usable_capacity_ += slots;
     }
+    mean_slots_ =
+        servers_.empty() ? 1.0 : std::max(1.0, all_slots / static_cast<double>(servers_.size()));
 }
 
 auto admission_scheduler::owner_usable_at(const server_id& owner, const admission_request& request,
--- a/tests/ownership/range_authority_test.cpp
+++ b/tests/ownership/range_authority_test.cpp
@@ -130,6 +130,35 @@
     BOOST_TEST(fixture.max_holders == 1);
 }
 
+// Guards against callers that are told to return, or kept waiting, long before the keys can be
+// served: the lease of a server that does not answer ends only with its time.
+BOOST_AUTO_TEST_CASE(expects_the_keys_when_the_lease_ends)
+{
+    lease_fixture fixture;
+    auto authority = fixture.make_started_authority();
+    fixture.unreachable.insert(server_id{"a"});
+    authority->move({0, 65'535}, server_id{"b"}, fixture.time.now());
+    fixture.run(*authority, milliseconds{50});
+    auto found = authority->find(5000, fixture.time.now());
+    BOOST_TEST((found.phase == range_phase::releasing));
+    BOOST_TEST((found.free_at > fixture.time.now() + seconds{3}));
+}
+
+// Guards against the refusal of requests whose keys are moving: a server that answers releases its
+// keys when their requests have ended, long before its lease does.
+BOOST_AUTO_TEST_CASE(expects_a_release_after_the_mean_time_of_earlier_ones)
+{
+    lease_fixture fixture;
+    auto authority = fixture.make_started_authority();
+    authority->move({0, 65'535}, server_id{"b"}, fixture.time.now());
+    authority->tick(fixture.time.now());
+    authority->on_recorded(authority->revision(), fixture.time.now());
+    auto found = authority->find(5000, fixture.time.now());
+    BOOST_TEST((found.phase == range_phase::releasing));
+    BOOST_TEST((found.free_at > fixture.time.now()));
+    BOOST_TEST((found.free_at < fixture.time.now() + milliseconds{500}));
+}
+
 // Guards against a successor that renews the lease of a server which never received the release.
 BOOST_AUTO_TEST_CASE(grants_again_only_after_the_record_no_longer_names_the_server)
 {
--- a/tests/routing/admission_scheduler_test.cpp
+++ b/tests/routing/admission_scheduler_test.cpp
@@ -445,6 +445,27 @@
     BOOST_TEST(is_sent(3));
 }
 
+// Load: many keys move at once under overload. Guards against one limit on late requests for all
+// moving keys together, and against refusals that blame an overload.
+BOOST_FIXTURE_TEST_CASE(lets_late_requests_wait_for_each_moving_range, keyed_fixture)
+{
+    scheduler.set_owner_lookup([this](std::uint16_t key) -> key_owner {
+        return {std::nullopt, time.now() + milliseconds{600},
+                static_cast<std::uint16_t>(key / 100 * 100)};
+    });
+    for (std::uint16_t range = 0; range < 4; ++range) {
+        submit(keyed_request(range * 10U, range * 100));
+        submit(keyed_request(range * 10U + 1, range * 100 + 5));
+    }
+    for (std::uint64_t range = 0; range < 4; ++range) {
+        BOOST_TEST(!is_refused(range * 10));
+        BOOST_TEST(is_refused(range * 10 + 1));
+        const auto& refused = decisions.at(range * 10 + 1);
+        BOOST_TEST(to_string(refused.cause) == "no-owner");
+        BOOST_TEST((refused.retry_after >= milliseconds{450}));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(queues_a_request_for_a_moving_key_and_sends_it_to_the_new_owner,
                         keyed_fixture)
 {
