--- a/gateway/caller_connection.cpp
+++ b/gateway/caller_connection.cpp
@@ -338,7 +338,7 @@
     bool may_get_first_request =
         !has_received_ && services_.loop.now() - opened_at_ < first_request_grace;
     if (closes_idle && is_idle() && !is_lingering_ && input_.empty() && !may_get_first_request &&
-        !stream_->has_unread_bytes()) {
+        stream_->unsent_bytes() == 0 && !stream_->has_unread_bytes()) {
         close();
     }
 }
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -31,6 +31,43 @@
     run_until([&] { return instance->is_finished(); });
 }
 
+// Guards against a truncated response: the server's response is complete, but a slow caller has not
+// read all of it when idle connections are closed.
+BOOST_AUTO_TEST_CASE(sends_the_rest_of_a_complete_response_to_a_slow_caller)
+{
+    constexpr std::size_t size = 6'000'000;
+    start();
+    for (auto* backend : {&plain_server_1, &plain_server_2}) {
+        backend->handle_request = [](fake_backend& self, received_request& received) {
+            received.send(self.valid_response(received, std::string(size, 'x')));
+        };
+    }
+    raw_connection slow{settings.caller_address, 8192};
+    slow.send(request("/read/1", "r1"));
+    auto is_complete_at_server = [&] {
+        raw_connection probe{
+            {"127.0.0.1", static_cast<std::uint16_t>(settings.peer_address.port + 1)}};
+        probe.send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+        run_until([&] {
+            probe.receive();
+            return is_whole(probe.received);
+        });
+        return probe.received.find("outcome_answered_total 1") != std::string::npos;
+    };
+    do {
+        for (int n = 0; n < 4; ++n) {
+            slow.receive();
+            run_for(milliseconds{1});
+        }
+    } while (!is_complete_at_server());
+    BOOST_TEST(slow.received.size() < size);
+
+    instance->shut_down();
+    run_for(milliseconds{3300});
+    run_until([&] { return !slow.receive() || slow.received.size() > size; });
+    BOOST_TEST(slow.received.size() > size);
+}
+
 // Guards against a connection that stays open but reads no more requests. This can happen if the
 // last response is complete before the shutdown and waits behind a slower one, so that it cannot
 // announce the end of the connection.
