Send each release of keys on a connection of its own

Change: the client of releases does not reuse connections. Grants keep theirs: a wrong answer to a grant extends no lease, because its time is counted from the call.

Result: new case in unary_client_test: the second answer reaches no call.

--- a/gateway/range_coordinator.cpp
+++ b/gateway/range_coordinator.cpp
@@ -30,12 +30,20 @@
     return out;
 }
 
+auto release_channel_options() -> unary_client::options
+{
+    auto out = channel_options();
+    // An answer to an earlier release would hand over keys that the server still uses.
+    out.reuses_connections = false;
+    return out;
+}
+
 } // namespace
 
 lease_channel::lease_channel(event_loop& loop, const endpoint& address,
                              std::function<void()> on_lost)
     : loop_{loop}, grants_{loop, address, channel_options()}, releases_{loop, address,
-                                                                        channel_options()}
+                                                                        release_channel_options()}
 {
     grants_.set_on_connection_lost(std::move(on_lost));
 }
--- a/gateway/range_coordinator.h
+++ b/gateway/range_coordinator.h
@@ -14,8 +14,8 @@
 namespace cornelswitch {
 
 /// Sends lease calls to one server. Grants are sent one after the other over one connection,
-/// however many ranges are renewed. Releases use another connection, as they wait for running
-/// requests.
+/// however many ranges are renewed. Each release uses a connection of its own, as it waits for
+/// running requests.
 class lease_channel {
 public:
     lease_channel(event_loop& loop, const endpoint& address, std::function<void()> on_lost);
--- a/gateway/unary_client.cpp
+++ b/gateway/unary_client.cpp
@@ -162,7 +162,8 @@
                          used.has_error() ? used.error().message : "body too large"},
                    false);
         } else if (self->is_complete) {
-            bool keeps = self->keeps_alive && used.value() == bytes.size();
+            bool keeps =
+                options_.reuses_connections && self->keeps_alive && used.value() == bytes.size();
             finish(self, std::move(self->response), keeps);
         }
     };
--- a/gateway/unary_client.h
+++ b/gateway/unary_client.h
@@ -28,6 +28,9 @@
         duration max_response_time{0};
         /// Time without received bytes after which such a call fails earlier.
         duration stall_timeout{std::chrono::milliseconds{400}};
+        /// Whether a connection serves several calls. A faulty server may answer a call twice, and
+        /// the second answer would be taken for the one to the next call.
+        bool reuses_connections{true};
     };
 
     unary_client(event_loop& loop, endpoint server, options settings);
--- a/tests/gateway/unary_client_test.cpp
+++ b/tests/gateway/unary_client_test.cpp
@@ -79,5 +79,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a second answer to one call, sent late, that is taken for the answer to the next.
+BOOST_FIXTURE_TEST_CASE(a_client_that_does_not_reuse_connections, loop_fixture)
+{
+    int requests = 0;
+    fake_http_server server{loop, [&](received_request request) {
+                                ++requests;
+                                if (requests > 1) {
+                                    return;
+                                }
+                                auto answer = fake_http_server::response(200, "", "first");
+                                request.send(answer);
+                                loop.schedule(milliseconds{50},
+                                              [request, answer] { request.send(answer); });
+                            }};
+    unary_client::options options;
+    options.reuses_connections = false;
+    unary_client client{loop, server.address(), options};
+    int answers = 0;
+    client.call({}, seconds{1}, [&](const result<http_response>&) { ++answers; });
+    run_until([&] { return answers == 1; });
+    client.call({}, seconds{1}, [&](const result<http_response>&) { ++answers; });
+    run_for(milliseconds{300});
+    BOOST_TEST(requests == 2);
+    BOOST_TEST(answers == 1);
+}
+
 } // namespace
 } // namespace cornelswitch::test
