Let the planner of a large service move more ranges at once

Cause: at most 24 moves in one plan, every 0.5 s, whatever the number of servers: after a zone of 107 servers had returned empty, they got keys for over 4 s while the others were overloaded.

Change: a service of more than 96 servers may move a range for every fourth server in one plan.

--- a/routing/range_planner.cpp
+++ b/routing/range_planner.cpp
@@ -122,6 +122,11 @@
         }
     }
 
+    auto max_moves() const -> std::size_t
+    {
+        return std::max(range_planner::max_moves, loads_.size() / range_planner::servers_per_move);
+    }
+
     /// Ranges without an owner are not served at all, so more of them are placed in one plan.
     auto max_unowned_moves() const -> std::size_t { return 8 * range_planner::max_moves; }
 
@@ -223,7 +228,7 @@
     auto offload_busy_servers() -> void
     {
         double mean = mean_utilization();
-        while (moves_.size() < range_planner::max_moves) {
+        while (moves_.size() < max_moves()) {
             auto* donor = busiest(mean);
             if (donor == nullptr) {
                 return;
@@ -255,7 +260,7 @@
     auto fill_empty_servers() -> void
     {
         for (auto& [id, load] : loads_) {
-            if (load.keys > 0 || moves_.size() >= range_planner::max_moves) {
+            if (load.keys > 0 || moves_.size() >= max_moves()) {
                 continue;
             }
             auto more = [](const auto& left, const auto& right) {
--- a/routing/range_planner.h
+++ b/routing/range_planner.h
@@ -43,9 +43,13 @@
 /// spare capacity.
 class range_planner {
 public:
-    /// Maximum number of moves in one plan, because each move interrupts its keys for a moment.
-    /// Ranges without an owner are exempt.
+    /// Maximum number of moves in one plan of a small service, because each move interrupts its
+    /// keys for a moment. Ranges without an owner are exempt.
     static constexpr std::size_t max_moves = 24;
+    /// Larger services may move keys of every n-th server in one plan: the share of the keys that
+    /// are interrupted stays the same, and returning servers are filled as fast as in a small
+    /// service.
+    static constexpr std::size_t servers_per_move = 4;
 
     /// `servers` may own keys. Keys of owners that are not among them move to `servers`.
     auto plan(const std::vector<planned_server>& servers, const std::vector<planned_range>& ranges,
