Relieve a server whose keys are scattered over many ranges

Cause: the planner looked for one slice that carries the whole excess of a busy server.

Change: without such a slice the heaviest one moves, and more follow.

--- a/routing/range_planner.cpp
+++ b/routing/range_planner.cpp
@@ -237,9 +237,13 @@
             double excess = donor->rate - mean * donor->server.capacity;
             double room = mean * target.server.capacity - target.rate;
             double wanted = std::min({excess, room, 0.95 * (donor->rate - donor->hot_rate)});
-            auto slice = wanted < min_slice_rate || &target == donor
-                             ? std::nullopt
-                             : narrowest_slice(donor->server.id, wanted);
+            bool is_too_little = wanted < min_slice_rate || &target == donor;
+            auto slice = is_too_little ? std::nullopt : narrowest_slice(donor->server.id, wanted);
+            if (!slice && !is_too_little) {
+                // The keys of the donor are scattered over ranges that carry less each. Several of
+                // them together relieve it.
+                slice = heaviest_slice(donor->server.id);
+            }
             if (!slice) {
                 cannot_offload_.emplace(donor->server.id, true);
                 continue;
@@ -369,6 +373,50 @@
         return best;
     }
 
+    /// Run of groups within one of the owner's ranges that has the highest rate.
+    auto heaviest_slice(const server_id& owner) const -> std::optional<key_range>
+    {
+        std::optional<key_range> best;
+        double best_rate = min_slice_rate;
+        for (const auto& it : ranges_) {
+            if (it.is_moving || it.owner != owner) {
+                continue;
+            }
+            for (const auto& run : unreserved_runs(it.keys)) {
+                double rate = key_rates_.rate(run, now_);
+                if (rate > best_rate) {
+                    best = run;
+                    best_rate = rate;
+                }
+            }
+        }
+        return best;
+    }
+
+    /// The longest parts of `keys` that are not reserved.
+    auto unreserved_runs(key_range keys) const -> std::vector<key_range>
+    {
+        std::vector<key_range> out;
+        bool continues = false;
+        std::uint32_t first = keys.first;
+        while (first <= keys.last) {
+            auto group_end =
+                (first / key_rate_estimator::group_keys + 1) * key_rate_estimator::group_keys - 1;
+            auto last = std::min<std::uint32_t>(group_end, keys.last);
+            if (is_reserved(first, last)) {
+                continues = false;
+            } else if (continues) {
+                out.back().last = static_cast<std::uint16_t>(last);
+            } else {
+                out.push_back(
+                    {static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(last)});
+                continues = true;
+            }
+            first = last + 1;
+        }
+        return out;
+    }
+
     auto consider_range(key_range keys, double wanted, std::optional<key_range>& best) const -> void
     {
         double min_rate = wanted * slice_tolerance;
