Leave a hot group of keys on its server for some seconds

Cause: the group that fills a server by itself moved to whichever server seemed fastest.

Change: a hot group stays for 5 s on the server that it moved to.

--- a/routing/range_planner.cpp
+++ b/routing/range_planner.cpp
@@ -42,8 +42,9 @@
 public:
     plan_builder(const std::vector<planned_server>& servers,
                  const std::vector<planned_range>& ranges, const key_rate_estimator& key_rates,
-                 time_point now)
-        : ranges_{ranges}, key_rates_{key_rates}, rates_{key_rates.rates(now)}, now_{now}
+                 std::map<std::uint32_t, time_point>& hot_group_moves, time_point now)
+        : ranges_{ranges}, key_rates_{key_rates}, rates_{key_rates.rates(now)},
+          hot_group_moves_{hot_group_moves}, now_{now}
     {
         for (const auto& it : servers) {
             loads_.emplace(it.id, server_load{it, 0, 0, 0});
@@ -324,14 +325,18 @@
         }
         bool is_owner_fast_enough =
             best == nullptr || best->server.capacity < hot_group_gain * owner.server.capacity;
-        bool stays =
-            best == nullptr || (is_owner_fast_enough && !hot_group_hosts.contains(owner.server.id));
+        auto moved = hot_group_moves_.find(group);
+        bool has_just_moved = moved != hot_group_moves_.end() &&
+                              now_ < moved->second + range_planner::hot_group_dwell;
+        bool stays = best == nullptr || ((is_owner_fast_enough || has_just_moved) &&
+                                         !hot_group_hosts.contains(owner.server.id));
         auto& host = stays ? owner : *best;
         hot_group_hosts.emplace(host.server.id, true);
         host.hot_rate += rates_[group];
         if (&host != &owner) {
             owner.rate -= rates_[group];
             owner.keys -= std::min(owner.keys, keys.size());
+            hot_group_moves_[group] = now_;
             move(keys, host);
         }
     }
@@ -450,6 +455,7 @@
     const std::vector<planned_range>& ranges_;
     const key_rate_estimator& key_rates_;
     std::vector<double> rates_;
+    std::map<std::uint32_t, time_point>& hot_group_moves_;
     time_point now_;
     std::map<server_id, server_load> loads_;
     std::map<server_id, bool> cannot_offload_;
@@ -461,10 +467,12 @@
 
 auto range_planner::plan(const std::vector<planned_server>& servers,
                          const std::vector<planned_range>& ranges,
-                         const key_rate_estimator& key_rates, time_point now) const
+                         const key_rate_estimator& key_rates, time_point now)
     -> std::vector<range_move>
 {
-    return plan_builder{servers, ranges, key_rates, now}.build();
+    std::erase_if(hot_group_moves_,
+                  [&](const auto& it) { return now >= it.second + hot_group_dwell; });
+    return plan_builder{servers, ranges, key_rates, hot_group_moves_, now}.build();
 }
 
 } // namespace cornelswitch
--- a/routing/range_planner.h
+++ b/routing/range_planner.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/ids.h"
 #include "ownership/key_range.h"
 #include "routing/key_rate_estimator.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -51,9 +53,19 @@
     /// service.
     static constexpr std::size_t servers_per_move = 4;
 
+    /// Time for which a hot group of keys stays on the server that it moved to, even if another one
+    /// seems faster. A move takes the group out of service for about half a second and makes its
+    /// new owner slow for some seconds, while the measured speed of servers changes several times a
+    /// second.
+    static constexpr duration hot_group_dwell = std::chrono::seconds{5};
+
     /// `servers` may own keys. Keys of owners that are not among them move to `servers`.
     auto plan(const std::vector<planned_server>& servers, const std::vector<planned_range>& ranges,
-              const key_rate_estimator& key_rates, time_point now) const -> std::vector<range_move>;
+              const key_rate_estimator& key_rates, time_point now) -> std::vector<range_move>;
+
+private:
+    /// When each hot group last moved to a faster server, by number of the group.
+    std::map<std::uint32_t, time_point> hot_group_moves_;
 };
 
 } // namespace cornelswitch
--- a/tests/routing/range_planner_test.cpp
+++ b/tests/routing/range_planner_test.cpp
@@ -157,6 +157,53 @@
     BOOST_TEST(extra_rate < 0.1 * other_rate);
 }
 
+// Load: a hot key, and servers whose measured speed changes all the time. Guards against a key that
+// is out of service most of the time because it moves again and again.
+BOOST_AUTO_TEST_CASE(leaves_a_hot_key_where_it_is_while_the_speed_of_servers_fluctuates)
+{
+    planner_fixture fixture{10, 12};
+    auto owner = fixture.owners[30'000];
+    int changes = 0;
+    for (int round = 0; round < 10; ++round) {
+        fixture.load({30'000, 30'000}, 20, milliseconds{500});
+        fixture.load({0, 65'535}, 20, milliseconds{500});
+        fixture.now += milliseconds{500};
+        for (std::size_t n = 0; n < 10; ++n) {
+            fixture.planned_servers[n].capacity =
+                (n + static_cast<std::size_t>(round)) % 3 == 0 ? 20 : 10;
+        }
+        fixture.plan();
+        changes += fixture.owners[30'000] != owner ? 1 : 0;
+        owner = fixture.owners[30'000];
+    }
+    BOOST_TEST(changes <= 1);
+}
+
+// Load: a busy server whose keys are scattered over many small ranges, as after many moves. Guards
+// against a server that stays overloaded because no single range carries all of its excess.
+BOOST_AUTO_TEST_CASE(relieves_a_server_whose_keys_are_scattered)
+{
+    planner_fixture fixture{10, 12};
+    std::vector<std::uint32_t> scattered;
+    for (std::uint32_t n = 0; n < 40; ++n) {
+        auto first = n * 1600 + 800;
+        for (std::uint32_t key = first; key < first + 16; ++key) {
+            fixture.owners[key] = 0;
+        }
+        scattered.push_back(first);
+    }
+    for (auto first : scattered) {
+        fixture.load({static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(first + 15)}, 1,
+                     seconds{4});
+    }
+    fixture.now += seconds{4};
+    BOOST_TEST(fixture.utilizations()[0] > 1.5);
+    for (int round = 0; round < 3; ++round) {
+        fixture.plan();
+    }
+    BOOST_TEST(fixture.utilizations()[0] < 0.8);
+}
+
 BOOST_AUTO_TEST_CASE(moves_nothing_under_even_load)
 {
     planner_fixture fixture{21, 12};
