Take a response with an impossible status for a failed attempt

Cause: a server in trouble sent an answer with status 000, and the caller got it as an answer. The parsers of both daemons passed on any status, and the HTTP/2 client took 0 for one that it could not read.

--- a/adapters/h2o/response_parser.cpp
+++ b/adapters/h2o/response_parser.cpp
@@ -1,5 +1,7 @@
 #include "adapters/h2o/response_parser.h"
 
+#include "adapters/response_status.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
@@ -51,9 +53,13 @@
         -> void override
     {
     }
-    auto on_response_impl(int status, beast::string_view, int, code&) -> void override
+    auto on_response_impl(int status, beast::string_view, int, code& ec) -> void override
     {
+        ec = {};
         head_.status = status;
+        if (!is_response_status(status)) {
+            ec = beast::http::error::bad_status;
+        }
     }
     auto on_field_impl(beast::http::field, beast::string_view name, beast::string_view value, code&)
         -> void override
--- a/adapters/http1/message_parser.cpp
+++ b/adapters/http1/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http1/message_parser.h"
 
+#include "adapters/response_status.h"
+
 #include <http_parser.h>
 
 #include <algorithm>
@@ -98,6 +100,9 @@
     {
         auto& self = of(it);
         self.head.status = static_cast<int>(it->status_code);
+        if (self.kind == http1_kind::response && !is_response_status(self.head.status)) {
+            return -1;
+        }
         self.is_interim =
             self.kind == http1_kind::response && it->status_code >= 100 && it->status_code < 200;
         if (self.kind == http1_kind::request) {
--- a/adapters/nghttp2/client_session.cpp
+++ b/adapters/nghttp2/client_session.cpp
@@ -1,7 +1,9 @@
 #include "adapters/nghttp2/client_session.h"
 
 #include "adapters/nghttp2/header_block.h"
+#include "adapters/response_status.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cornelswitch {
@@ -108,7 +110,14 @@
         return false;
     }
     if (name == ":status") {
-        it->head.status = static_cast<int>(parse_decimal(value).value_or(0));
+        constexpr std::uint64_t max_status = 999;
+        auto status = static_cast<int>(std::min(parse_decimal(value).value_or(0), max_status));
+        if (!is_response_status(status)) {
+            fail(*it, {error_code::invalid_message, "peer-response", peer(), "impossible status"},
+                 request_outcome::unknown);
+            return false;
+        }
+        it->head.status = status;
     } else if (name == "content-length") {
         it->head.content_length = parse_decimal(value);
     } else if (!name.starts_with(':')) {
--- a/tests/gateway/odd_bytes_test.cpp
+++ b/tests/gateway/odd_bytes_test.cpp
@@ -36,6 +36,33 @@
     }
 }
 
+// Guards against a status that is no response, such as 000 from a server in trouble, that reaches
+// the caller, and against the repetition of a request that may have run.
+BOOST_AUTO_TEST_CASE(does_not_pass_on_a_response_with_an_impossible_status)
+{
+    start();
+    std::string odd_status;
+    auto respond_oddly = [&](fake_backend& self, received_request& request) {
+        auto response = self.valid_response(request);
+        request.send(response.replace(response.find("200"), 3, odd_status));
+    };
+    for (const auto* it : {"000", "099", "101", "600"}) {
+        odd_status = it;
+        plain_server_1.handle_request = respond_oddly;
+        plain_server_2.handle_request = respond_oddly;
+        plain_server_1.executed_request_ids.clear();
+        plain_server_2.executed_request_ids.clear();
+        BOOST_TEST(status(call(request("/write/1", "w" + odd_status))) == "502", odd_status);
+        BOOST_TEST(plain_server_1.executed_request_ids.size() +
+                       plain_server_2.executed_request_ids.size() ==
+                   1U);
+        plain_server_2.handle_request = [](fake_backend& self, received_request& request) {
+            request.send(self.valid_response(request));
+        };
+        BOOST_TEST(status(call(request("/read/1", "r" + odd_status))) == "200", odd_status);
+    }
+}
+
 // Guards against a copy of an earlier rejection on a reused connection that is taken for the
 // response to another request, which the server runs.
 BOOST_AUTO_TEST_CASE(does_not_take_a_duplicate_rejection_for_the_response_to_another_request)
