--- a/gateway/workspace.h
+++ b/gateway/workspace.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/workspace_id.h"
+#include "routing/quota/request_quota.h"
 
 #include <cstdint>
 #include <optional>
@@ -9,16 +10,6 @@
 
 namespace cornelswitch {
 
-/// Requests that a workspace may run, counted over all instances.
-struct request_quota {
-    /// Requests per second in the long run.
-    double per_second{0};
-    /// Requests that may be run at once beyond the rate.
-    double burst{0};
-
-    friend auto operator==(const request_quota&, const request_quota&) -> bool = default;
-};
-
 /// A customer of the deployment.
 struct workspace {
     workspace_id name;
