Refuse requests over the quota of their workspace

Cause: RatePerS and Burst of a workspace were read and had no effect.

The peer messages quota_report and quota_allocation are appended to the variant, so the numbers of the others stay. caller_exchange asks after authentication and responds with 429, over-quota and Retry-After; a request that was not sent to any server gives its token back. Bounds.QuotaWindow, Bounds.QuotaOverrun and Bounds.QuotaSlack are read from the settings file.

--- a/gateway/caller_exchange.cpp
+++ b/gateway/caller_exchange.cpp
@@ -68,7 +68,7 @@
         respond(404, "no-route", std::nullopt);
         return false;
     }
-    if (!authenticate()) {
+    if (!authenticate() || !take_quota()) {
         return false;
     }
     service_ = services_.choose_target(*route_);
@@ -99,6 +99,21 @@
     return true;
 }
 
+auto caller_exchange::take_quota() -> bool
+{
+    if (workspace_ == nullptr || !workspace_->quota) {
+        return true;
+    }
+    auto decision = services_.quotas.admit(*workspace_);
+    holds_quota_ = decision.is_admitted;
+    if (!decision.is_admitted) {
+        services_.metrics.count("refusals_total");
+        services_.metrics.count("over_quota_total");
+        respond(429, "over-quota", decision.retry_after);
+    }
+    return decision.is_admitted;
+}
+
 auto caller_exchange::priority() const -> std::uint32_t
 {
     if (!configuration_->workspaces) {
@@ -517,7 +532,13 @@
         }
         services_.metrics.observe("request_ms", route_->name, total);
     }
+    if (std::exchange(holds_quota_, false) && attempts_sent_ == 0 && !may_have_run_) {
+        services_.quotas.give_back(*workspace_);
+    }
     if (workspace_ != nullptr) {
+        if (outcome == "refused") {
+            services_.quotas.count_refusal(*workspace_, cause);
+        }
         line.text("workspace", workspace_->name.value());
     }
     if (info_.key && is_keyed_) {
--- a/gateway/caller_exchange.h
+++ b/gateway/caller_exchange.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway_configuration.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/node_settings.h"
+#include "gateway/quota_runtime.h"
 #include "gateway/server_pool.h"
 #include "gateway/workspace_directory.h"
 
@@ -37,6 +38,7 @@
     /// Chooses the service for a request to a route with weighted targets.
     std::function<service_id(const gateway_route&)> choose_target;
     response_limit_settings response_limits;
+    quota_runtime& quotas;
 };
 
 /// One request of a caller, from its head to the end of its response.
@@ -89,6 +91,9 @@
     /// Finds the workspace of the request's API key. Responds and returns false when the route
     /// needs a key and no workspace holds the one that was sent.
     auto authenticate() -> bool;
+    /// Counts the request against the quota of its workspace. Responds and returns false when the
+    /// quota has no room.
+    auto take_quota() -> bool;
     auto priority() const -> std::uint32_t;
     auto request_admission() -> void;
     auto on_decision(const admission_decision& decision) -> void;
@@ -134,6 +139,8 @@
     const gateway_route* route_{nullptr};
     /// Workspace of the caller; null on public routes and when requests need no API key.
     const workspace* workspace_{nullptr};
+    /// The request is counted against the quota of its workspace.
+    bool holds_quota_{false};
     service_id service_;
     bool is_keyed_{false};
     phase phase_{phase::reading};
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -61,6 +61,7 @@
       replicator_{
           loop, store_, log, random_, fleet_, mesh_, settings_.is_first_start, replicator_hooks()},
       ownership_{loop, store_, log, std::string{coordination_topic_name()}}, pool_{loop, {}},
+      quotas_{loop, log, metrics_, mesh_, settings_.node, boot, quota_hooks()},
       services_{loop_,
                 pool_,
                 directory_,
@@ -69,9 +70,11 @@
                 metrics_,
                 [this] { return configuration_; },
                 [this](const gateway_route& route) { return choose_target(route); },
-                settings_.response_limits},
+                settings_.response_limits,
+                quotas_},
       context_{make_runtime_context()}
 {
+    quotas_.set_bounds(settings_.quota);
     ownership_.set_copy(replicator_.coordination());
     directory_.set_on_ended(
         [this](const service_id& service, const server_id& server, std::int64_t incarnation) {
@@ -116,6 +119,29 @@
     return out;
 }
 
+auto gateway::allocating_service() -> service_runtime*
+{
+    if (!configuration_ || configuration_->content.services.empty()) {
+        return nullptr;
+    }
+    return runtime(configuration_->content.services.begin()->first);
+}
+
+auto gateway::quota_hooks() -> quota_runtime::hooks
+{
+    quota_runtime::hooks out;
+    out.is_coordinator = [this] {
+        auto* service = allocating_service();
+        return service != nullptr && service->is_coordinator();
+    };
+    out.coordinator = [this] {
+        auto* service = allocating_service();
+        return service == nullptr ? std::nullopt : service->reachable_coordinator();
+    };
+    out.instances = [this] { return context_.instances(); };
+    return out;
+}
+
 auto gateway::replicator_hooks() -> store_replicator::hooks
 {
     store_replicator::hooks out;
@@ -201,6 +227,7 @@
 auto gateway::status(const std::string& path) -> status_response
 {
     if (path == "/metrics") {
+        quotas_.update_metrics();
         metrics_.set("servers", static_cast<double>(directory_.size()));
         metrics_.set("caller_connections", static_cast<double>(callers_.size()));
         metrics_.set("server_connects_total", static_cast<double>(pool_.totals().connects));
@@ -276,6 +303,8 @@
         replicator_.on_status(*status);
     } else if (const auto* report = std::get_if<progress_report>(&message)) {
         replicator_.on_progress(from, *report);
+    } else if (const auto* allocation = std::get_if<quota_allocation>(&message)) {
+        quotas_.on_allocation(from, *allocation);
     } else if (const auto* decided = std::get_if<admission_answer>(&message)) {
         if (auto* target = runtime(decided->service)) {
             target->on_answer(from, *decided);
@@ -297,6 +326,10 @@
         replicator_.on_subscriber_count(source, *report);
         return;
     }
+    if (const auto* usage = std::get_if<quota_report>(&message)) {
+        quotas_.on_report(source, *usage);
+        return;
+    }
     if (std::holds_alternative<progress_query>(message)) {
         replicator_.on_progress_query(source);
         return;
@@ -479,6 +512,8 @@
     settings_.retry_window = next.retry_window;
     settings_.cold_tolerance = next.cold_tolerance;
     settings_.cold_burst = next.cold_burst;
+    settings_.quota = next.quota;
+    quotas_.set_bounds(settings_.quota);
     settings_.shutdown_grace = next.shutdown_grace;
     seen_instances_ = 0;
     log_.line("reload").decimal("retry_ratio", settings_.retry_ratio);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/node_settings.h"
 #include "gateway/peer_mesh.h"
+#include "gateway/quota_runtime.h"
 #include "gateway/service_runtime.h"
 #include "gateway/status_server.h"
 #include "gateway/store_replicator.h"
@@ -57,6 +58,9 @@
     auto open_listeners() -> result<void>;
     auto accept_caller(st_h2o_socket_t* socket) -> void;
     auto make_runtime_context() -> runtime_context;
+    /// The service whose coordinator allocates the quotas of workspaces: the first by name.
+    auto allocating_service() -> service_runtime*;
+    auto quota_hooks() -> quota_runtime::hooks;
     auto mesh_hooks() -> peer_mesh::hooks;
     auto replicator_hooks() -> store_replicator::hooks;
     /// Handles a message that a coordinator candidate sent over this instance's link to it.
@@ -108,6 +112,7 @@
     store_replicator replicator_;
     conditional_topic_writer ownership_;
     server_pool pool_;
+    quota_runtime quotas_;
     exchange_services services_;
     runtime_context context_;
     std::shared_ptr<const active_configuration> configuration_;
--- a/gateway/gateway_metrics.cpp
+++ b/gateway/gateway_metrics.cpp
@@ -14,6 +14,11 @@
     ++histogram_series.count;
 }
 
+auto gateway_metrics::clear_gauges(std::string_view prefix) -> void
+{
+    std::erase_if(gauges_, [&](const auto& entry) { return entry.first.starts_with(prefix); });
+}
+
 auto gateway_metrics::text() const -> std::string
 {
     std::ostringstream out;
--- a/gateway/gateway_metrics.h
+++ b/gateway/gateway_metrics.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace cornelswitch {
 
@@ -17,6 +18,8 @@
     auto count(const std::string& name, std::uint64_t n = 1) -> void { counters_[name] += n; }
     /// Sets gauge `name`.
     auto set(const std::string& name, double value) -> void { gauges_[name] = value; }
+    /// Removes all gauges whose names begin with `prefix`.
+    auto clear_gauges(std::string_view prefix) -> void;
     /// Adds one latency to histogram `name` with `label`.
     auto observe(const std::string& name, const std::string& label, duration latency) -> void;
     /// Returns all metrics in the text format of Prometheus.
--- a/gateway/gateway_store.cpp
+++ b/gateway/gateway_store.cpp
@@ -115,6 +115,7 @@
     }
     apply_assignments();
     update_servers(loop_.now());
+    quotas_.configure(active->workspaces ? &active->workspaces->workspaces() : nullptr);
 }
 
 auto gateway::on_server_records(const std::vector<store_topic::change>& changes) -> void
--- a/gateway/node_settings.h
+++ b/gateway/node_settings.h
@@ -3,6 +3,7 @@
 #include "config/configuration.h"
 #include "core/clock.h"
 #include "core/ids.h"
+#include "routing/quota/request_quota.h"
 
 #include <cstdint>
 #include <string>
@@ -53,6 +54,8 @@
     /// A cold server may get `cold_rate * cold_tolerance + cold_burst` requests in one second.
     double cold_tolerance{1.0};
     double cold_burst{0};
+    /// How exactly the quotas of workspaces are kept.
+    quota_bounds quota;
     response_limit_settings response_limits;
 };
 
--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -20,6 +20,13 @@
 /// microseconds.
 using packed_range =
     std::tuple<std::uint16_t, std::uint16_t, std::string, std::int64_t, std::int64_t, std::int64_t>;
+/// Workspace, admitted and offered requests, share, mode.
+using packed_usage = std::tuple<std::string, std::uint32_t, std::uint32_t, float, std::uint8_t>;
+/// Workspace, mode, rate, admitted part, share.
+using packed_allocation = std::tuple<std::string, std::uint8_t, float, float, float>;
+/// Stands for a share that does not change.
+constexpr float same_share = -1.0F;
+constexpr auto last_quota_mode = static_cast<std::uint8_t>(quota_mode::limited);
 /// Stands for the end of earlier terms when the sender does not know it.
 constexpr std::int64_t unknown_end = std::numeric_limits<std::int64_t>::max();
 const decltype(topic_update::records) no_records;
@@ -169,6 +176,29 @@
         }
         fields(ends);
     }
+    auto operator()(const quota_report& it) -> void
+    {
+        std::vector<packed_usage> entries;
+        entries.reserve(it.entries.size());
+        for (const auto& from : it.entries) {
+            entries.emplace_back(from.workspace.value(), from.admitted, from.offered,
+                                 static_cast<float>(from.share),
+                                 static_cast<std::uint8_t>(from.mode));
+        }
+        fields(it.number, it.last_allocation, entries);
+    }
+    auto operator()(const quota_allocation& it) -> void
+    {
+        std::vector<packed_allocation> entries;
+        entries.reserve(it.entries.size());
+        for (const auto& from : it.entries) {
+            entries.emplace_back(from.workspace.value(), static_cast<std::uint8_t>(from.mode),
+                                 static_cast<float>(from.rate),
+                                 static_cast<float>(from.admitted_part),
+                                 from.share ? static_cast<float>(*from.share) : same_share);
+        }
+        fields(it.number, it.report, entries);
+    }
 };
 
 /// Reads the fields of one message in order; throws `msgpack::type_error` when a
@@ -427,6 +457,50 @@
     return out;
 }
 
+/// Returns a number from 0 to `last`.
+auto checked(double value, double last) -> double
+{
+    // Written so that a value that is not a number fails too.
+    if (!(value >= 0 && value <= last)) {
+        throw msgpack::type_error{};
+    }
+    return value;
+}
+
+auto to_quota_mode(std::uint8_t value) -> quota_mode
+{
+    if (value > last_quota_mode) {
+        throw msgpack::type_error{};
+    }
+    return static_cast<quota_mode>(value);
+}
+
+auto read_quota_report(reader& from) -> quota_report
+{
+    quota_report out;
+    out.number = from.next<std::uint64_t>();
+    out.last_allocation = from.next<std::uint64_t>();
+    for (auto& [name, admitted, offered, share, mode] : from.next<std::vector<packed_usage>>()) {
+        out.entries.push_back({workspace_id{std::move(name)}, admitted, offered,
+                               checked(share, 1.0), to_quota_mode(mode)});
+    }
+    return out;
+}
+
+auto read_quota_allocation(reader& from) -> quota_allocation
+{
+    quota_allocation out;
+    out.number = from.next<std::uint64_t>();
+    out.report = from.next<std::uint64_t>();
+    for (auto& [name, mode, rate, part, share] : from.next<std::vector<packed_allocation>>()) {
+        out.entries.push_back(
+            {workspace_id{std::move(name)}, to_quota_mode(mode),
+             checked(rate, std::numeric_limits<float>::max()), checked(part, 1.0),
+             share == same_share ? std::nullopt : std::optional{checked(share, 1.0)}});
+    }
+    return out;
+}
+
 /// Indexed by the message kind on the wire, which is the index of the type in `peer_message`.
 constexpr std::array<read_function, std::variant_size_v<peer_message>> readers{
     read_as<read_hello>,
@@ -452,6 +526,8 @@
     read_empty<progress_query>,
     read_as<read_progress>,
     read_as<read_rate_limit>,
+    read_as<read_quota_report>,
+    read_as<read_quota_allocation>,
 };
 
 auto read_message(const msgpack::object& object) -> peer_message
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -5,6 +5,7 @@
 #include "fleet/candidate.h"
 #include "ownership/coordinator_succession.h"
 #include "routing/admission_scheduler.h"
+#include "routing/quota/quota_message.h"
 
 #include <cstdint>
 #include <optional>
@@ -190,7 +191,7 @@
                  admission_declined, peer_shutting_down, role_superseded, role_stopped,
                  topic_update, update_subscription, subscription_keepalive, fleet_status,
                  subscriber_count_report, peer_ping, peer_pong, progress_query, progress_report,
-                 rate_limit_message>;
+                 rate_limit_message, quota_report, quota_allocation>;
 
 /// Appends the message with its length to `out`.
 auto encode_peer_message(std::string& out, const peer_message& message) -> void;
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -77,6 +77,8 @@
     {
         return is_coordinator() || reachable_coordinator().has_value();
     }
+    /// The coordinator, if it is another instance that can be asked.
+    auto reachable_coordinator() const -> std::optional<instance_id>;
     /// Whether this instance should resign as coordinator because it reaches too few instances or
     /// servers.
     auto should_resign(time_point now) -> bool;
@@ -148,8 +150,6 @@
     {
         return ranges_ ? &ranges_->authority() : nullptr;
     }
-    /// The coordinator, if it is another instance that can be asked.
-    auto reachable_coordinator() const -> std::optional<instance_id>;
     auto send_query(const instance_id& node, admission_id id, const admission_request& request)
         -> void;
     /// Submits the requests that wait for a decision of `node` to the local scheduler.
--- a/routing/quota/quota_allocator.cpp
+++ b/routing/quota/quota_allocator.cpp
@@ -67,7 +67,8 @@
     for (auto& it : states_) {
         it.is_configured = false;
     }
-    for (const auto& [name, quota] : quotas) {
+    for (const auto& [name, configured] : quotas) {
+        auto quota = bounds_.usable(configured);
         auto [found, is_new] = by_name_.try_emplace(name, states_.size());
         if (is_new) {
             auto& it = states_.emplace_back();
@@ -268,6 +269,10 @@
     // A debt that is older than a window no longer matters to the bound.
     auto max_debt = it.quota.per_second * to_seconds(bounds_.window);
     it.tokens = std::max(-max_debt, it.tokens - entry.admitted);
+    auto window = to_seconds(bounds_.window);
+    it.used_rate *= std::exp(-to_seconds(now - it.used_at) / window);
+    it.used_rate += entry.admitted / window;
+    it.used_at = now;
     auto& use = find_usage(it, from, now);
     auto added = entry.offered / decay_seconds;
     use.offered_rate = use.offered_rate * decay_factor(now - use.updated_at) + added;
@@ -399,6 +404,17 @@
     return it == by_name_.end() ? 0 : states_[it->second].tokens;
 }
 
+auto quota_allocator::used_part(const workspace_id& workspace, time_point now) const -> double
+{
+    auto found = by_name_.find(workspace);
+    if (found == by_name_.end()) {
+        return 0;
+    }
+    const auto& it = states_[found->second];
+    auto decay = std::exp(-to_seconds(now - it.used_at) / to_seconds(bounds_.window));
+    return it.used_rate * decay / it.quota.per_second;
+}
+
 auto quota_allocator::sum_of_shares(const workspace_id& workspace, time_point now) const -> double
 {
     auto it = by_name_.find(workspace);
--- a/routing/quota/quota_allocator.h
+++ b/routing/quota/quota_allocator.h
@@ -49,6 +49,8 @@
     auto mode(const workspace_id& workspace) const -> quota_mode;
     /// Requests that may run now beyond the rate; negative after an overrun.
     auto tokens(const workspace_id& workspace) const -> double;
+    /// Rate of admitted requests in the last window, as a part of the quota's rate.
+    auto used_part(const workspace_id& workspace, time_point now) const -> double;
     /// Sum of the shares that instances may use, including those that are reserved.
     auto sum_of_shares(const workspace_id& workspace, time_point now) const -> double;
     /// Number of records of an instance and a workspace.
@@ -85,6 +87,9 @@
         /// Sum of `usage::offered_rate` at `decayed_at`.
         double offered_rate{0};
         time_point decayed_at{};
+        /// Admitted requests per second, decayed over a window, at `used_at`.
+        double used_rate{0};
+        time_point used_at{};
         bool is_exceeding{false};
         time_point refused_at{};
         /// Sorted by instance.
--- a/routing/quota/quota_limiter.cpp
+++ b/routing/quota/quota_limiter.cpp
@@ -51,7 +51,8 @@
     for (auto& it : states_) {
         it.is_configured = false;
     }
-    for (const auto& [name, quota] : quotas) {
+    for (const auto& [name, configured] : quotas) {
+        auto quota = bounds_.usable(configured);
         auto [found, is_new] = by_name_.try_emplace(name, states_.size());
         if (is_new) {
             states_.emplace_back();
--- a/routing/quota/request_quota.h
+++ b/routing/quota/request_quota.h
@@ -32,6 +32,13 @@
         auto seconds = std::chrono::duration<double>{window}.count();
         return (quota.per_second * seconds + quota.burst) * overrun + slack;
     }
+    /// The quota as it is divided. A burst below one second of the rate grows by a part of the
+    /// headroom, because even requests at a steady rate arrive in small bursts.
+    auto usable(const request_quota& quota) const -> request_quota
+    {
+        auto least = std::min(quota.per_second, headroom(quota) / 4);
+        return {quota.per_second, std::max(quota.burst, least)};
+    }
     /// Tokens assumed for a quota whose use is unknown. A quarter of the headroom: the state may be
     /// lost several times within one window, by instances that become isolated and by allocators.
     auto unknown_tokens(const request_quota& quota) const -> double
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -133,6 +133,42 @@
     BOOST_TEST((decoded.report.answered_age == milliseconds{-1}));
 }
 
+BOOST_AUTO_TEST_CASE(report_and_allocate_quotas)
+{
+    quota_report report{7, 5, {{workspace_id{"w"}, 3, 9, 0.25, quota_mode::limited}}};
+    quota_allocation allocation{6,
+                                7,
+                                {{workspace_id{"w"}, quota_mode::limited, 2.5, 0.5, 0.125},
+                                 {workspace_id{"v"}, quota_mode::open, 0, 1, std::nullopt}}};
+    std::string bytes;
+    encode_peer_message(bytes, report);
+    encode_peer_message(bytes, allocation);
+    auto all = decode_peer_messages(bytes).value();
+    const auto& usage = std::get<quota_report>(all.at(0));
+    BOOST_TEST(usage.number == 7U);
+    BOOST_TEST(usage.last_allocation == 5U);
+    BOOST_REQUIRE(usage.entries.size() == 1U);
+    BOOST_TEST((usage.entries[0].workspace == workspace_id{"w"}));
+    BOOST_TEST(usage.entries[0].admitted == 3U);
+    BOOST_TEST(usage.entries[0].offered == 9U);
+    BOOST_TEST(usage.entries[0].share == 0.25);
+    BOOST_TEST((usage.entries[0].mode == quota_mode::limited));
+    const auto& allocated = std::get<quota_allocation>(all.at(1));
+    BOOST_TEST(allocated.number == 6U);
+    BOOST_TEST(allocated.report == 7U);
+    BOOST_REQUIRE(allocated.entries.size() == 2U);
+    BOOST_TEST((allocated.entries[0].mode == quota_mode::limited));
+    BOOST_TEST(allocated.entries[0].rate == 2.5);
+    BOOST_TEST(allocated.entries[0].admitted_part == 0.5);
+    BOOST_TEST(allocated.entries[0].share.value_or(0) == 0.125);
+    BOOST_TEST(!allocated.entries[1].share.has_value());
+    // Guards against a share that would let one instance use more than the whole quota.
+    std::string faulty;
+    report.entries[0].share = 1.5;
+    encode_peer_message(faulty, report);
+    BOOST_TEST(decode_peer_messages(faulty).has_error());
+}
+
 BOOST_AUTO_TEST_CASE(wait_for_the_rest_of_a_message)
 {
     std::string bytes;
--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -48,6 +48,24 @@
     BOOST_TEST(it.store_partitions == 8U);
 }
 
+BOOST_AUTO_TEST_CASE(names_the_exactness_of_quotas)
+{
+    auto usual = decode_settings(valid_settings).value().quota;
+    BOOST_TEST((usual.window == seconds{5}));
+    BOOST_TEST(usual.overrun == 0.1);
+    BOOST_TEST(usual.slack == 20);
+    auto named = decode_settings(valid_settings + "Bounds.QuotaWindow=2s\nBounds.QuotaOverrun=0.2\n"
+                                                  "Bounds.QuotaSlack=7\n")
+                     .value()
+                     .quota;
+    BOOST_TEST((named.window == seconds{2}));
+    BOOST_TEST(named.overrun == 0.2);
+    BOOST_TEST(named.slack == 7);
+    // Guards against a window without a length, by which rates are divided.
+    BOOST_TEST((decode_settings(valid_settings + "Bounds.QuotaWindow=0s\n").value().quota.window ==
+                seconds{5}));
+}
+
 BOOST_AUTO_TEST_CASE(is_rejected_with_the_name_of_a_missing_required_field)
 {
     for (const auto* field :
