Return the part of members that left to the other instances

Cause: the mesh's number of instances never decreases, and the allocator reserves an equal part of each quota for each member that does not report. After a deployment shrinks from 85 to 66 instances, 22% of every quota would stay unused.

Change: a member that does not report is counted for 10 minutes.

--- a/routing/quota/quota_allocator.cpp
+++ b/routing/quota/quota_allocator.cpp
@@ -92,6 +92,29 @@
     }
 }
 
+auto quota_allocator::set_instances(std::uint32_t n) -> void
+{
+    n = std::max(n, 1U);
+    if (n != std::exchange(reported_instances_, n)) {
+        instances_ = n;
+        missing_since_.reset();
+    }
+}
+
+auto quota_allocator::update_members(time_point now) -> void
+{
+    if (heard_.size() >= instances_) {
+        missing_since_.reset();
+        return;
+    }
+    most_heard_ = std::max(missing_since_ ? most_heard_ : 0, heard_.size());
+    missing_since_ = missing_since_.value_or(now);
+    if (now - *missing_since_ > member_timeout) {
+        instances_ = static_cast<std::uint32_t>(std::max<std::size_t>(most_heard_, 1));
+        missing_since_.reset();
+    }
+}
+
 auto quota_allocator::members() const -> double
 {
     return std::max<double>(instances_, static_cast<double>(heard_.size()));
@@ -359,6 +382,7 @@
 auto quota_allocator::tick(time_point now) -> void
 {
     update_silent(now);
+    update_members(now);
     std::vector<instance_number> lost;
     for (const auto& [number, instance] : heard_) {
         if (now - instance.heard_at > quota_limiter::share_lifetime) {
--- a/routing/quota/quota_allocator.h
+++ b/routing/quota/quota_allocator.h
@@ -36,8 +36,12 @@
     auto configure(const std::vector<std::pair<workspace_id, request_quota>>& quotas,
                    time_point now) -> void;
     auto set_bounds(const quota_bounds& bounds) -> void { bounds_ = bounds; }
-    /// Sets the number of instances in the fleet, this one included.
-    auto set_instances(std::uint32_t n) -> void { instances_ = n == 0 ? 1 : n; }
+    /// Without a report for this long, a member is taken for one that left the fleet.
+    static constexpr duration member_timeout = std::chrono::minutes{10};
+
+    /// Sets the number of instances in the fleet, this one included. The number may be too high
+    /// after instances left; those that do not report are counted for `member_timeout`.
+    auto set_instances(std::uint32_t n) -> void;
 
     auto on_report(const instance_id& from, boot_id boot, const quota_report& report,
                    time_point now) -> quota_allocation;
@@ -103,6 +107,7 @@
     auto find_usage(workspace_state& it, instance_number instance, time_point now) -> usage&;
     auto members() const -> double;
     auto update_silent(time_point now) -> void;
+    auto update_members(time_point now) -> void;
     auto is_starting(time_point now) const -> bool;
     /// Part of the quota that is reserved for instances without contact.
     auto silent_share(const workspace_state& it, time_point now) const -> double;
@@ -130,6 +135,10 @@
     quota_bounds bounds_;
     time_point started_at_;
     std::uint32_t instances_{1};
+    std::uint32_t reported_instances_{0};
+    /// Since when fewer instances than `instances_` report, and the most that did since.
+    std::optional<time_point> missing_since_;
+    std::size_t most_heard_{0};
     std::vector<workspace_state> states_;
     std::unordered_map<workspace_id, std::size_t> by_name_;
     std::map<instance_number, instance_state> heard_;
--- a/tests/routing/quota_test.cpp
+++ b/tests/routing/quota_test.cpp
@@ -218,6 +218,21 @@
     BOOST_TEST(they.allocator.sum_of_shares(name, they.time.now()) <= 1.0 + 1e-9);
 }
 
+// Guards against a quota that stays reduced after instances were taken out for good, because the
+// number of instances never decreases.
+BOOST_AUTO_TEST_CASE(are_whole_again_after_instances_left)
+{
+    two_instances they;
+    they.allocator.set_instances(4);
+    they.pass(seconds{3}, 30);
+    // Half of the rate is reserved for the two members that do not report.
+    BOOST_TEST(they.pass(seconds{5}, 30) <= 5 * 50 * 1.1 + 20);
+    they.pass(quota_allocator::member_timeout, 0);
+    they.allocator.set_instances(4);
+    they.pass(seconds{3}, 30);
+    BOOST_TEST(they.pass(seconds{5}, 30) >= 5 * 100 * 0.9);
+}
+
 // Guards against a change of the configuration that grants the burst again.
 BOOST_AUTO_TEST_CASE(apply_a_reduced_quota_within_one_window)
 {
