--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -16,12 +16,6 @@
 constexpr duration unreachable_retry_delay = milliseconds{1500};
 /// Pause in sending to a server that has shed a request.
 constexpr duration shed_pause = milliseconds{60};
-/// Late requests that may wait for a server, as a multiple of its slots. They are worth less than
-/// requests that can be in time and get only the remaining capacity, which under overload is none.
-constexpr std::uint32_t max_late_per_slot = 1;
-/// Bounds of the retry delay that a caller is given.
-constexpr double min_retry_after_ms = 50.0;
-constexpr double max_retry_after_ms = 2000.0;
 
 } // namespace
 
@@ -46,15 +40,16 @@
 
 admission_scheduler::admission_scheduler(admission_settings settings, random_engine& random,
                                          decision_callback on_decision)
-    : settings_{settings}, random_{random}, on_decision_{std::move(on_decision)}
+    : settings_{settings}, random_{random},
+      on_decision_{std::move(on_decision)}, value_{settings.value}
 {
 }
 
 auto admission_scheduler::is_sent_before(const admission_request& left,
                                          const admission_request& right) -> bool
 {
-    return std::tie(left.is_late, left.priority, left.objective) <
-           std::tie(right.is_late, right.priority, right.objective);
+    return std::tie(left.is_late, left.rank, left.order_time) <
+           std::tie(right.is_late, right.rank, right.order_time);
 }
 
 auto admission_scheduler::estimate(const admission_request& request, time_point now) const
@@ -163,170 +158,12 @@
     const auto* queue = find_queue(request);
     decision.queue_length = queue != nullptr ? static_cast<std::uint32_t>(queue->size()) : 0;
     decision.rate_limit = applied_limit(server, now);
+    decision.value = request.value;
+    decision.is_returning = request.is_returning;
+    shares_.on_served(request.priority, request.work.value(), now);
     on_decision_(decision);
 }
 
-auto admission_scheduler::refuse(const refusal& it, time_point now) -> void
-{
-    // Randomized, so that refused callers do not all retry at the same time.
-    double ms = std::clamp(to_ms(it.retry_after), min_retry_after_ms, max_retry_after_ms);
-    ms *= 0.75 + 0.5 * uniform_real(random_);
-    const auto& request = it.request;
-    const auto* queue = find_queue(request);
-    admission_decision decision;
-    decision.source = request.source;
-    decision.id = request.id;
-    decision.cause = it.cause;
-    decision.retry_after = from_ms(ms);
-    decision.queue_time = now - request.received;
-    decision.queue_length = queue != nullptr ? static_cast<std::uint32_t>(queue->size()) : 0;
-    decision.expected_wait = expected_wait(request, now);
-    if (request.owner) {
-        decision.rate_limit = rate_limit(*request.owner, now);
-    }
-    on_decision_(decision);
-}
-
-auto admission_scheduler::expected_wait(const admission_request& request, time_point now) const
-    -> duration
-{
-    const auto* queue = find_queue(request);
-    if (follows_owner(request)) {
-        if (!request.owner) {
-            return unowned_wait(request, now);
-        }
-        auto it = servers_.find(*request.owner);
-        if (it == servers_.end()) {
-            return duration::zero();
-        }
-        std::size_t ahead = 0;
-        if (queue != nullptr) {
-            ahead = static_cast<std::size_t>(std::ranges::count_if(
-                *queue, [&](const auto& other) { return other.objective <= request.objective; }));
-        }
-        auto slots = std::max(1U, it->second.info.slots);
-        double busy = std::max(0.0, static_cast<double>(it->second.in_flight) - slots + 1) * 0.5;
-        auto slot_wait = from_ms(to_ms(expected_time(it->second, request.work, now)) *
-                                 (static_cast<double>(ahead) + busy) / slots);
-        return std::max(slot_wait, owner_limit_wait(request, now));
-    }
-    if (usable_capacity_ <= 0) {
-        return duration::zero();
-    }
-    auto ahead = std::ranges::count_if(shared_queue_, [&](const auto& other) {
-        return other.priority < request.priority ||
-               (other.priority == request.priority && other.objective <= request.objective);
-    });
-    if (ahead == 0 && has_ready_limited_server(now)) {
-        return duration::zero();
-    }
-    return from_ms(to_ms(expected_work(request.work)) * (static_cast<double>(ahead) + 0.5) /
-                   usable_capacity_);
-}
-
-auto admission_scheduler::unowned_wait(const admission_request& request, time_point now) const
-    -> duration
-{
-    auto ahead = std::ranges::count_if(unowned_queue_, [&](const auto& other) {
-        return other.first_key_of_range == request.first_key_of_range &&
-               !is_sent_before(request, other);
-    });
-    auto until_owned = std::max(duration::zero(), request.owner_available_at - now);
-    return until_owned +
-           from_ms(to_ms(expected_work(request.work)) * static_cast<double>(ahead) / mean_slots_);
-}
-
-auto admission_scheduler::shortage_cause(const admission_request& request) const -> refusal_cause
-{
-    if (follows_owner(request) && !request.owner) {
-        return refusal_cause::no_owner;
-    }
-    return are_all_servers_limited(request) ? refusal_cause::rate_limit : refusal_cause::overload;
-}
-
-auto admission_scheduler::find_refusal(const admission_request& request, time_point now) const
-    -> std::optional<refusal>
-{
-    auto work = estimate(request, now);
-    if (now + work / 2 >= request.deadline) {
-        return refusal{request, refusal_cause::expired, work};
-    }
-    if (!follows_owner(request)) {
-        return std::nullopt;
-    }
-    if (!request.owner) {
-        auto available_at = request.owner_available_at;
-        if (available_at + work > request.deadline) {
-            return refusal{request, refusal_cause::no_owner, available_at - now};
-        }
-        return std::nullopt;
-    }
-    auto usable_at = owner_usable_at(*request.owner, request, now);
-    auto hold_off = held_off_.find({request.source, *request.owner});
-    // Only this source has to wait. A retry of the caller may reach another instance.
-    bool only_source_held_off = hold_off != held_off_.end() && now < hold_off->second &&
-                                !holds_off_other_sources(request.source, *request.owner, now);
-    if (only_source_held_off && usable_at + work > request.objective) {
-        return refusal{request, refusal_cause::no_server, duration::zero()};
-    }
-    if (usable_at + work > request.deadline) {
-        return refusal{request, refusal_cause::no_server, usable_at - now};
-    }
-    return std::nullopt;
-}
-
-auto admission_scheduler::has_server_for(const admission_request& request, time_point now) const
-    -> bool
-{
-    return std::ranges::any_of(servers_, [&](const auto& it) {
-        return it.second.info.is_usable && !is_avoided(it.second, now) &&
-               !is_blocked(request.source, it.first, now) &&
-               std::ranges::find(request.excluded, it.first) == request.excluded.end();
-    });
-}
-
-auto admission_scheduler::find_refusal_on_arrival(admission_request& request, time_point now) const
-    -> std::optional<refusal>
-{
-    if (auto out = find_refusal(request, now)) {
-        return out;
-    }
-    if (!follows_owner(request) && !has_server_for(request, now)) {
-        return refusal{request, refusal_cause::no_server, milliseconds{500}};
-    }
-    auto work = estimate(request, now);
-    auto wait = expected_wait(request, now);
-    request.is_expected_late = now + wait + work > request.objective;
-    if (now + wait + work > request.deadline ||
-        (request.is_expected_late && remaining_late_capacity(request) == 0)) {
-        auto cause = shortage_cause(request);
-        return refusal{request, cause, cause == refusal_cause::overload ? wait / 2 : wait};
-    }
-    return std::nullopt;
-}
-
-auto admission_scheduler::remaining_late_capacity(const admission_request& request) const
-    -> std::size_t
-{
-    bool is_unowned = follows_owner(request) && !request.owner;
-    double slots = is_unowned ? mean_slots_ : usable_capacity_;
-    if (follows_owner(request) && request.owner) {
-        auto it = servers_.find(*request.owner);
-        slots = it != servers_.end() ? it->second.info.slots : 1;
-    }
-    const auto* queue = find_queue(request);
-    std::size_t late = 0;
-    if (queue != nullptr) {
-        late = static_cast<std::size_t>(std::ranges::count_if(*queue, [&](const auto& it) {
-            bool has_other_owner =
-                is_unowned && it.first_key_of_range != request.first_key_of_range;
-            return (it.is_late || it.is_expected_late) && !has_other_owner;
-        }));
-    }
-    auto max_late = static_cast<std::size_t>(std::max(1.0, slots)) * max_late_per_slot;
-    return max_late > late ? max_late - late : 0;
-}
-
 auto admission_scheduler::submit(admission_request request, time_point now) -> void
 {
     if (request.key && settings_.is_keyed) {
@@ -335,13 +172,19 @@
     }
     resolve_owner(request);
     begin_turns(request, now);
-    if (auto refused = find_refusal_on_arrival(request, now)) {
+    set_value(request, now);
+    std::vector<refusal> displaced;
+    if (auto refused = find_refusal_on_arrival(request, displaced, now)) {
         refuse(*refused, now);
         return;
     }
     auto owner = request.owner;
     bool is_shared = !follows_owner(request);
     enqueue(std::move(request));
+    for (auto& it : displaced) {
+        it.retry_after = expected_wait(it.request, now);
+        refuse(it, now);
+    }
     if (is_shared || owner) {
         dispatch(owner, now);
     }
@@ -450,7 +293,8 @@
 auto admission_scheduler::sort_queue(wait_queue& queue, time_point now) const -> void
 {
     for (auto& it : queue) {
-        it.is_late = it.is_late || now + estimate(it, now) > it.objective;
+        it.work_time = estimate(it, now);
+        it.is_late = it.is_late || now + it.work_time > it.objective;
     }
     if (!std::ranges::is_sorted(queue, is_sent_before)) {
         std::ranges::stable_sort(queue, is_sent_before);
@@ -560,28 +404,53 @@
     std::vector<refusal> refusals;
     auto check = [&](wait_queue& queue, const server_state* owner) {
         std::size_t ahead = 0;
-        for (auto it = queue.begin(); it != queue.end();) {
-            auto refused = find_refusal(*it, now);
+        auto wait = queue.empty() ? duration::zero() : room_for(queue.front(), now).wait;
+        std::vector<bool> is_refused(queue.size());
+        auto drop = [&](std::size_t n, refusal&& it) {
+            is_refused[n] = true;
+            // No longer counted among the late requests.
+            queue[n].is_late = queue[n].is_expected_late = false;
+            refusals.push_back(std::move(it));
+        };
+        for (std::size_t n = 0; n < queue.size(); ++n) {
+            auto& it = queue[n];
+            if (is_refused[n]) {
+                continue;
+            }
+            auto refused = find_refusal(it, now);
+            auto work = estimate(it, now);
             if (!refused && owner != nullptr) {
-                auto wait = rate_limit_wait(*owner, ahead, now);
-                if (wait > duration::zero() && now + wait + estimate(*it, now) / 2 > it->deadline) {
-                    refused = refusal{*it, refusal_cause::rate_limit, wait};
+                auto limit_wait = rate_limit_wait(*owner, ahead, now);
+                if (limit_wait > duration::zero() && now + limit_wait + work / 2 > it.deadline) {
+                    refused = refusal{it, refusal_cause::rate_limit, limit_wait};
                 }
             }
-            bool becomes_late = !it->is_late && now + estimate(*it, now) > it->objective;
-            if (!refused && becomes_late && !it->is_expected_late &&
-                remaining_late_capacity(*it) == 0) {
-                refused = refusal{*it, shortage_cause(*it), expected_work(it->work)};
+            if (!refused && (owner != nullptr || !follows_owner(it)) &&
+                value_.settings().displaces && value_.is_hopeless(valued(it), wait, now)) {
+                refused = refusal{it, shortage_cause(it), wait};
             }
             if (refused) {
-                refusals.push_back(std::move(*refused));
-                it = queue.erase(it);
+                drop(n, std::move(*refused));
                 continue;
             }
-            it->is_late = it->is_late || becomes_late;
-            ++it;
+            if (!it.is_late && now + work > it.objective) {
+                if (!it.is_expected_late && remaining_late_capacity(it) == 0) {
+                    auto least = least_valuable_late(queue, n);
+                    auto& other = queue[least];
+                    double favoured = least != n ? it.value : 0;
+                    drop(least, {other, shortage_cause(other), expected_work(other.work), favoured,
+                                 least != n});
+                    if (least == n) {
+                        continue;
+                    }
+                }
+                it.is_late = true;
+            }
+            wait += delay_of(it);
             ++ahead;
         }
+        std::size_t index = 0;
+        std::erase_if(queue, [&](const auto&) { return is_refused[index++]; });
     };
     check(shared_queue_, nullptr);
     check(unowned_queue_, nullptr);
@@ -603,6 +472,7 @@
     }
     std::erase_if(unreachable_, [&](const auto& it) { return it.second <= now; });
     std::erase_if(held_off_, [&](const auto& it) { return it.second <= now; });
+    returns_.remove_expired(now);
     for (const auto& it : refusals) {
         refuse(it, now);
     }
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -3,6 +3,9 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/random.h"
+#include "routing/admission_value.h"
+#include "routing/return_schedule.h"
+#include "routing/served_shares.h"
 #include "routing/server_rate_limit.h"
 #include "routing/shared_rate_limiter.h"
 #include "routing/token_bucket.h"
@@ -70,6 +73,19 @@
     bool is_late{false};
     /// Set by the scheduler: on arrival the queue was already too long to meet the objective.
     bool is_expected_late{false};
+    /// Set by the scheduler: place in the order in which requests are sent. The lower `rank` goes
+    /// first, then the earlier `order_time`.
+    double rank{0};
+    time_point order_time{};
+    /// Set by the scheduler: expected service time, and the value of a response in time for each
+    /// slot second.
+    duration work_time{0};
+    double value{0};
+    /// Set by the scheduler: the caller was refused before and returns when it was told to.
+    bool is_returning{false};
+    /// Set by the scheduler: the request is sent ahead of its priority, because its class was
+    /// served too little.
+    bool is_underserved{false};
 };
 
 enum class admission_outcome : std::uint8_t { send, refuse };
@@ -124,6 +140,14 @@
     instance_id decided_by;
     /// Rate limit of the chosen server or, for a refused request, of the owner of its key.
     std::optional<applied_rate_limit> rate_limit;
+    /// Value of the request, see `admission_value`, and of the request in favour of which it was
+    /// refused; 0 if there was none.
+    double value{0};
+    double favoured_value{0};
+    /// The request had waited before it was refused in favour of another one.
+    bool is_displaced{false};
+    /// The caller was refused before and returned when it was told to.
+    bool is_returning{false};
 };
 
 enum class attempt_outcome : std::uint8_t {
@@ -178,6 +202,7 @@
     /// Number of instances that may schedule independently at the same time.
     std::uint32_t instances{1};
     bool is_keyed{false};
+    admission_value_settings value;
 };
 
 /// Decides for each request of one service which server gets it and when.
@@ -301,6 +326,9 @@
         admission_request request;
         refusal_cause cause{refusal_cause::none};
         duration retry_after{0};
+        /// See `admission_decision`.
+        double favoured_value{0};
+        bool is_displaced{false};
     };
 
     /// Whether a server with room for one request gets `left` rather than `right`.
@@ -362,9 +390,32 @@
     auto find_refusal(const admission_request& request, time_point now) const
         -> std::optional<refusal>;
     /// Like `find_refusal`, for a new request, which is also refused if the queue is too long. Sets
-    /// `is_expected_late`.
-    auto find_refusal_on_arrival(admission_request& request, time_point now) const
-        -> std::optional<refusal>;
+    /// `is_expected_late`. Moves waiting requests that are refused in favour of the new one from
+    /// the queue to `displaced`.
+    auto find_refusal_on_arrival(admission_request& request, std::vector<refusal>& displaced,
+                                 time_point now) -> std::optional<refusal>;
+    /// Sets the place of a new request in the order and its value.
+    auto set_value(admission_request& request, time_point now) -> void;
+    /// Work of the requests that are sent before `request`.
+    auto work_ahead(const wait_queue& queue, const admission_request& request) const -> duration;
+    /// Applies the rule of value to the queue of a new request. Returns whether the new request is
+    /// kept.
+    auto make_room(const admission_request& request, bool is_short, std::vector<refusal>& displaced,
+                   time_point now) -> bool;
+    auto valued(const admission_request& request) const -> valued_request;
+    auto room_for(const admission_request& request, time_point now) const -> queue_room;
+    /// Time by which a request delays those behind it.
+    auto delay_of(const admission_request& request) const -> duration;
+    /// Whether two waiting requests compete for the same servers.
+    auto shares_servers(const admission_request& left, const admission_request& right) const
+        -> bool;
+    /// Late requests that may wait for the servers of this one.
+    auto late_capacity(const admission_request& request) const -> std::size_t;
+    /// The least valuable late request of a queue when the one at `index` becomes late, too; that
+    /// one itself unless another is worth clearly less.
+    auto least_valuable_late(const wait_queue& queue, std::size_t index) const -> std::size_t;
+    /// Time after which the caller of a refused request should return.
+    auto return_time(const refusal& it, time_point now) -> duration;
     auto has_server_for(const admission_request& request, time_point now) const -> bool;
     /// Expected wait of a request whose key has no owner now.
     auto unowned_wait(const admission_request& request, time_point now) const -> duration;
@@ -418,6 +469,9 @@
     double usable_capacity_{0};
     /// Mean slots of a server, for requests whose key will get an owner that is not known yet.
     double mean_slots_{1};
+    admission_value value_;
+    served_shares shares_;
+    return_schedule returns_;
     bool is_dispatching_{false};
     std::vector<queue_key> pending_dispatches_;
 };
--- a/routing/admission_scheduler_limits.cpp
+++ b/routing/admission_scheduler_limits.cpp
@@ -35,6 +35,7 @@
 {
     bool becomes_coordinator = settings.is_coordinator && !settings_.is_coordinator;
     settings_ = settings;
+    value_ = admission_value{settings.value};
     for (auto& [id, server] : servers_) {
         if (becomes_coordinator) {
             // The previous coordinator may just have used up the limit.
