Give returning callers a third of the room and count refusals once

Returning requests of most work took the place of others of their priority, and a caller that was expected back counted as refused, so its class was sent ahead of its priority too early. The factor of a returning request is 1.5 instead of 4, a third instead of half of the room is promised, and a caller with a place does not count as refused. The benchmark counts late refusals.

--- a/bench/admission_bench/admission_load.cpp
+++ b/bench/admission_bench/admission_load.cpp
@@ -36,6 +36,7 @@
     wasted += it.wasted;
     refused_once += it.refused_once;
     refused_again += it.refused_again;
+    refused_late += it.refused_late;
     refusals += it.refusals;
     refusal_time += it.refusal_time;
     return *this;
@@ -158,6 +159,7 @@
         events_.after(wait, [this, refused] { attempt(refused); });
     } else if (refused.is_counted) {
         ++(refused.refusals > 1 ? result.refused_again : result.refused_once);
+        result.refused_late += decision.queue_time > type.deadline / honoured_divisor ? 1 : 0;
     }
 }
 
--- a/bench/admission_bench/admission_load.h
+++ b/bench/admission_bench/admission_load.h
@@ -52,6 +52,8 @@
     /// Not answered, by the number of refusals.
     std::uint64_t refused_once{0};
     std::uint64_t refused_again{0};
+    /// Of these, refused after more of their time than the part for which callers wait.
+    std::uint64_t refused_late{0};
     /// Refusals, and the time that the requests had waited before.
     std::uint64_t refusals{0};
     duration refusal_time{0};
--- a/bench/admission_bench/main.cpp
+++ b/bench/admission_bench/main.cpp
@@ -12,9 +12,9 @@
 using namespace cornelswitch::bench;
 using namespace std::chrono_literals;
 
-/// Value of a late response, and of a second refusal, relative to a response in time.
+/// Value of a late response, and of a second or a late refusal, relative to a response in time.
 constexpr double late_value = 0.5;
-constexpr double second_refusal_value = -0.25;
+constexpr double bad_refusal_value = -0.25;
 
 struct way {
     std::string name;
@@ -116,7 +116,7 @@
         double weight = scenario.classes[n].value;
         value += weight *
                  (static_cast<double>(sum.in_time) + late_value * static_cast<double>(sum.late) +
-                  second_refusal_value * static_cast<double>(sum.refused_again));
+                  bad_refusal_value * static_cast<double>(sum.refused_again + sum.refused_late));
         most += weight * static_cast<double>(sum.callers);
         auto percent = [&](std::uint64_t count) {
             return 100.0 * static_cast<double>(count) / static_cast<double>(sum.callers);
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -148,6 +148,8 @@
     bool is_displaced{false};
     /// The caller was refused before and returned when it was told to.
     bool is_returning{false};
+    /// The scheduler expects the refused caller after `retry_after` and has reserved room for it.
+    bool has_place{false};
 };
 
 enum class attempt_outcome : std::uint8_t {
@@ -414,8 +416,8 @@
     /// The least valuable late request of a queue when the one at `index` becomes late, too; that
     /// one itself unless another is worth clearly less.
     auto least_valuable_late(const wait_queue& queue, std::size_t index) const -> std::size_t;
-    /// Time after which the caller of a refused request should return.
-    auto return_time(const refusal& it, time_point now) -> duration;
+    /// When the caller of a refused request should return, and whether it has a place then.
+    auto invite(const refusal& it, time_point now) -> return_schedule::invitation;
     auto has_server_for(const admission_request& request, time_point now) const -> bool;
     /// Expected wait of a request whose key has no owner now.
     auto unowned_wait(const admission_request& request, time_point now) const -> duration;
--- a/routing/admission_scheduler_room.cpp
+++ b/routing/admission_scheduler_room.cpp
@@ -333,22 +333,20 @@
     return out;
 }
 
-auto admission_scheduler::return_time(const refusal& it, time_point now) -> duration
+auto admission_scheduler::invite(const refusal& it, time_point now) -> return_schedule::invitation
 {
     const auto& request = it.request;
     if (it.cause != refusal_cause::overload || !settings_.value.books_returns) {
         // Randomized, so that refused callers do not all retry at the same time.
         auto wait = it.cause == refusal_cause::overload ? it.retry_after / 2 : it.retry_after;
         double ms = std::clamp(to_ms(wait), min_retry_after_ms, max_retry_after_ms);
-        return from_ms(ms * (0.75 + 0.5 * uniform_real(random_)));
+        return {from_ms(ms * (0.75 + 0.5 * uniform_real(random_))), false};
     }
     // Spread over the time in which the backlog clears.
     auto wait = from_ms(to_ms(it.retry_after) * (0.5 + 0.5 * uniform_real(random_)));
-    return returns_
-        .invite({request.owner, request.priority, request.work.value(), request.deadline,
-                 request.order_time},
-                wait, delay_of(request), now)
-        .retry_after;
+    return returns_.invite({request.owner, request.priority, request.work.value(), request.deadline,
+                            request.order_time},
+                           wait, delay_of(request), now);
 }
 
 auto admission_scheduler::refuse(const refusal& it, time_point now) -> void
@@ -362,7 +360,9 @@
     decision.queue_time = now - request.received;
     decision.queue_length = queue != nullptr ? static_cast<std::uint32_t>(queue->size()) : 0;
     decision.expected_wait = expected_wait(request, now);
-    decision.retry_after = return_time(it, now);
+    auto invitation = invite(it, now);
+    decision.retry_after = invitation.retry_after;
+    decision.has_place = invitation.has_place;
     if (request.owner) {
         decision.rate_limit = rate_limit(*request.owner, now);
     }
@@ -370,8 +370,10 @@
     decision.favoured_value = it.favoured_value;
     decision.is_displaced = it.is_displaced;
     decision.is_returning = request.is_returning;
-    if (it.cause == refusal_cause::overload || it.cause == refusal_cause::rate_limit ||
-        it.cause == refusal_cause::expired) {
+    bool is_short = it.cause == refusal_cause::overload || it.cause == refusal_cause::rate_limit ||
+                    it.cause == refusal_cause::expired;
+    // A caller with a place is expected to be served when it returns.
+    if (is_short && !invitation.has_place) {
         shares_.on_refused(request.priority, request.work.value(), now);
     }
     on_decision_(decision);
--- a/routing/admission_value.cpp
+++ b/routing/admission_value.cpp
@@ -15,8 +15,9 @@
 /// Value of a late response relative to one in time.
 constexpr double late_gain = 0.5;
 /// A second refusal is the worst outcome for a caller, so a returning request precedes new ones of
-/// its priority. Less than the step between two priorities.
-constexpr double returning_factor = 4.0;
+/// similar work. Requests of much less work still precede it: with a factor of 4, those of most
+/// work took the place of others of the same priority.
+constexpr double returning_factor = 1.5;
 /// A request is refused in favour of one that is worth at least this many times as much. Requests
 /// of similar work therefore do not displace each other.
 constexpr double min_advantage = 1.25;
--- a/routing/return_schedule.cpp
+++ b/routing/return_schedule.cpp
@@ -13,8 +13,9 @@
 constexpr std::size_t max_places = 4096;
 /// Lines of owners and priorities that are kept.
 constexpr std::size_t max_lines = 1024;
-/// Part of the capacity that is promised to returning callers. The rest is left to new requests.
-constexpr double returning_share = 0.5;
+/// Part of the capacity that is promised to returning callers. The rest is left to new requests,
+/// which otherwise are refused in turn.
+constexpr double returning_share = 0.3;
 /// Callers wait for at most this part of the time that they have left.
 constexpr int honoured_divisor = 3;
 /// Bounds of the time that a caller is given. Few requests have more than 10 s.
