Report the value of refused requests to instances, logs and metrics

An operator could not see which requests were turned away under shortage and in favour of what. A refusal carries the value of the request, that of the one it was refused for, its priority level, and whether the caller has a place to return. The fields follow the known ones in the answer to a query, so an instance of an earlier build ignores them; answers that send a request are encoded as before. Refusals are counted by level and ground.

test_gateway and test_routing pass.

--- a/gateway/caller_exchange.cpp
+++ b/gateway/caller_exchange.cpp
@@ -502,7 +502,13 @@
             .ms("deadline_ms", deadline_ - received_);
         if (decision_.cause != refusal_cause::none) {
             line.ms("expected_wait_ms", decision_.expected_wait)
-                .ms("retry_after_ms", decision_.retry_after);
+                .ms("retry_after_ms", decision_.retry_after)
+                .number("priority_level", decision_.valuation.level)
+                .decimal("value", decision_.valuation.value)
+                .decimal("favoured_value", decision_.valuation.favoured_value)
+                .number("displaced", decision_.valuation.is_displaced ? 1 : 0)
+                .number("returning", decision_.valuation.is_returning ? 1 : 0)
+                .number("return_place", decision_.valuation.has_place ? 1 : 0);
         }
         if (decision_.rate_limit) {
             line.decimal("rate_limit", decision_.rate_limit->limit.per_second)
--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -108,10 +108,19 @@
     auto operator()(const admission_answer& it) -> void
     {
         auto limit = it.rate_limit.value_or(applied_rate_limit{{no_limit}, {}, {}});
-        fields(it.service.value(), it.id.value(), static_cast<std::uint8_t>(it.outcome),
-               it.server.value(), static_cast<std::uint8_t>(it.cause), to_us(it.retry_after),
-               it.queue_length, to_us(it.expected_wait), limit.limit.per_second, to_us(limit.age),
-               limit.reported_by.value());
+        auto write = [&](const auto&... valuation) {
+            fields(it.service.value(), it.id.value(), static_cast<std::uint8_t>(it.outcome),
+                   it.server.value(), static_cast<std::uint8_t>(it.cause), to_us(it.retry_after),
+                   it.queue_length, to_us(it.expected_wait), limit.limit.per_second,
+                   to_us(limit.age), limit.reported_by.value(), valuation...);
+        };
+        if (it.outcome == admission_outcome::send) {
+            write();
+            return;
+        }
+        const auto& grounds = it.valuation;
+        write(static_cast<float>(grounds.value), static_cast<float>(grounds.favoured_value),
+              grounds.level, grounds.is_displaced, grounds.is_returning, grounds.has_place);
     }
     auto operator()(const admission_declined& it) -> void
     {
@@ -315,6 +324,14 @@
             out.rate_limit = applied_rate_limit{*limit, age, std::move(reporter)};
         }
     }
+    if (from.has_more()) {
+        out.valuation.value = from.next<float>();
+        out.valuation.favoured_value = from.next<float>();
+        out.valuation.level = from.next<std::uint32_t>();
+        out.valuation.is_displaced = from.next<bool>();
+        out.valuation.is_returning = from.next<bool>();
+        out.valuation.has_place = from.next<bool>();
+    }
     return out;
 }
 
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -88,6 +88,8 @@
     duration expected_wait{0};
     /// See `admission_decision`.
     std::optional<applied_rate_limit> rate_limit;
+    /// Sent with refusals only.
+    admission_valuation valuation;
 };
 
 /// The sender does not admit requests of the service.
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -16,6 +16,9 @@
 /// A server without a request for this time needs no health check.
 constexpr duration recent_use_window = std::chrono::seconds{1};
 constexpr admission_source local_source{0};
+/// Refusals of this and all less urgent priorities are counted together, which bounds the number of
+/// metrics.
+constexpr std::uint32_t max_counted_level = 3;
 
 } // namespace
 
@@ -220,6 +223,7 @@
     decision.decided_by = from;
     decision.queue_time = now - it->second.request.received;
     decision.rate_limit = answer.rate_limit;
+    decision.valuation = answer.valuation;
     if (answer.outcome == admission_outcome::send) {
         scheduler_.adopt(local_source, answer.id, answer.server, it->second.request.work, now, now);
     }
@@ -242,8 +246,29 @@
     return scheduler_.try_take_health_check(server, context_.time.now());
 }
 
+auto service_runtime::count_refusal(const admission_valuation& it) -> void
+{
+    auto level = std::min(it.level, max_counted_level);
+    context_.metrics.count("admission_refused_level_" + std::to_string(level) + "_total");
+    if (it.favoured_value > 0) {
+        context_.metrics.count(it.is_displaced ? "admission_displaced_total"
+                                               : "admission_outvalued_total");
+    }
+    if (it.is_returning) {
+        context_.metrics.count("admission_refused_again_total");
+    }
+    if (it.has_place) {
+        context_.metrics.count("admission_return_places_total");
+    }
+}
+
 auto service_runtime::on_decision(const admission_decision& decision) -> void
 {
+    if (decision.outcome == admission_outcome::refuse) {
+        count_refusal(decision.valuation);
+    } else if (decision.valuation.is_returning) {
+        context_.metrics.count("admission_returned_total");
+    }
     if (decision.outcome == admission_outcome::send) {
         last_sent_[decision.server] = context_.time.now();
         if (decision.rate_limit) {
@@ -258,7 +283,8 @@
                                   admission_answer{service_.name, decision.id, decision.outcome,
                                                    decision.server, decision.cause,
                                                    decision.retry_after, decision.queue_length,
-                                                   decision.expected_wait, decision.rate_limit});
+                                                   decision.expected_wait, decision.rate_limit,
+                                                   decision.valuation});
 }
 
 auto service_runtime::resolve(admission_id id, const admission_decision& decision) -> void
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -135,6 +135,8 @@
     auto log_rate_limit(const server_id& server, const std::optional<applied_rate_limit>& limit)
         -> void;
     auto on_decision(const admission_decision& decision) -> void;
+    /// Counts what this instance refused, by priority and by ground.
+    auto count_refusal(const admission_valuation& it) -> void;
     auto resolve(admission_id id, const admission_decision& decision) -> void;
     auto find_owner(std::uint16_t key) const -> key_owner;
     auto take_over() -> void;
--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -158,8 +158,7 @@
     const auto* queue = find_queue(request);
     decision.queue_length = queue != nullptr ? static_cast<std::uint32_t>(queue->size()) : 0;
     decision.rate_limit = applied_limit(server, now);
-    decision.value = request.value;
-    decision.is_returning = request.is_returning;
+    decision.valuation = valuation_of(request);
     shares_.on_served(request.priority, request.work.value(), now);
     on_decision_(decision);
 }
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -123,6 +123,21 @@
     duration answered_age{0};
 };
 
+/// Grounds of a decision under shortage; see `admission_value`.
+struct admission_valuation {
+    /// Value of the request, and of the one in favour of which it was refused; 0 if there was none.
+    double value{0};
+    double favoured_value{0};
+    /// Number of more urgent priorities in use.
+    std::uint32_t level{0};
+    /// The request had waited before it was refused in favour of another one.
+    bool is_displaced{false};
+    /// The caller was refused before and returned when it was told to.
+    bool is_returning{false};
+    /// The scheduler expects the refused caller after `retry_after` and has reserved room for it.
+    bool has_place{false};
+};
+
 struct admission_decision {
     admission_source source;
     admission_id id;
@@ -140,16 +155,7 @@
     instance_id decided_by;
     /// Rate limit of the chosen server or, for a refused request, of the owner of its key.
     std::optional<applied_rate_limit> rate_limit;
-    /// Value of the request, see `admission_value`, and of the request in favour of which it was
-    /// refused; 0 if there was none.
-    double value{0};
-    double favoured_value{0};
-    /// The request had waited before it was refused in favour of another one.
-    bool is_displaced{false};
-    /// The caller was refused before and returned when it was told to.
-    bool is_returning{false};
-    /// The scheduler expects the refused caller after `retry_after` and has reserved room for it.
-    bool has_place{false};
+    admission_valuation valuation;
 };
 
 enum class attempt_outcome : std::uint8_t {
@@ -400,6 +406,7 @@
     auto set_value(admission_request& request, time_point now) -> void;
     /// Work of the requests that are sent before `request`.
     auto work_ahead(const wait_queue& queue, const admission_request& request) const -> duration;
+    auto valuation_of(const admission_request& request) const -> admission_valuation;
     /// Applies the rule of value to the queue of a new request. Returns whether the new request is
     /// kept.
     auto make_room(const admission_request& request, bool is_short, std::vector<refusal>& displaced,
--- a/routing/admission_scheduler_room.cpp
+++ b/routing/admission_scheduler_room.cpp
@@ -205,6 +205,16 @@
                      : duration::zero();
 }
 
+auto admission_scheduler::valuation_of(const admission_request& request) const
+    -> admission_valuation
+{
+    admission_valuation out;
+    out.value = request.value;
+    out.level = shares_.level(request.priority);
+    out.is_returning = request.is_returning;
+    return out;
+}
+
 auto admission_scheduler::room_for(const admission_request& request, time_point now) const
     -> queue_room
 {
@@ -362,14 +372,13 @@
     decision.expected_wait = expected_wait(request, now);
     auto invitation = invite(it, now);
     decision.retry_after = invitation.retry_after;
-    decision.has_place = invitation.has_place;
     if (request.owner) {
         decision.rate_limit = rate_limit(*request.owner, now);
     }
-    decision.value = request.value;
-    decision.favoured_value = it.favoured_value;
-    decision.is_displaced = it.is_displaced;
-    decision.is_returning = request.is_returning;
+    decision.valuation = valuation_of(request);
+    decision.valuation.favoured_value = it.favoured_value;
+    decision.valuation.is_displaced = it.is_displaced;
+    decision.valuation.has_place = invitation.has_place;
     bool is_short = it.cause == refusal_cause::overload || it.cause == refusal_cause::rate_limit ||
                     it.cause == refusal_cause::expired;
     // A caller with a place is expected to be served when it returns.
--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -24,6 +24,7 @@
                             server_id{}, refusal_cause::overload, milliseconds{120},
                             14,          milliseconds{300}};
     answer.rate_limit = applied_rate_limit{{3.5}, milliseconds{40}, instance_id{"i7"}};
+    answer.valuation = {0.5, 8.25, 2, true, false, true};
     attempt_report report{attempt_outcome::withheld, milliseconds{3}, 1, 2, 150, milliseconds{800}};
     report.rate_limit = rate_limit_notice{request_rate{0}, milliseconds{6}};
     candidate sender{instance_id{"i1"}, zone_id{"z1"}, {"127.0.0.1", 7200}, 0.5};
@@ -71,6 +72,12 @@
     BOOST_TEST(refused.rate_limit->limit.per_second == 3.5);
     BOOST_TEST((refused.rate_limit->age == milliseconds{40}));
     BOOST_TEST(refused.rate_limit->reported_by.value() == "i7");
+    BOOST_TEST(refused.valuation.value == 0.5);
+    BOOST_TEST(refused.valuation.favoured_value == 8.25);
+    BOOST_TEST(refused.valuation.level == 2U);
+    BOOST_TEST(refused.valuation.is_displaced);
+    BOOST_TEST(!refused.valuation.is_returning);
+    BOOST_TEST(refused.valuation.has_place);
     const auto& stopped = std::get<role_stopped>(all[3]);
     BOOST_TEST(stopped.term.value() == 3U);
     BOOST_TEST(stopped.state.last_term.value() == 2U);
