--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -279,12 +279,11 @@
         resolve(decision.id, decision);
         return;
     }
-    context_.mesh.send_to_session(decision.source,
-                                  admission_answer{service_.name, decision.id, decision.outcome,
-                                                   decision.server, decision.cause,
-                                                   decision.retry_after, decision.queue_length,
-                                                   decision.expected_wait, decision.rate_limit,
-                                                   decision.valuation});
+    context_.mesh.send_to_session(
+        decision.source,
+        admission_answer{service_.name, decision.id, decision.outcome, decision.server,
+                         decision.cause, decision.retry_after, decision.queue_length,
+                         decision.expected_wait, decision.rate_limit, decision.valuation});
 }
 
 auto service_runtime::resolve(admission_id id, const admission_decision& decision) -> void
--- a/routing/return_schedule.cpp
+++ b/routing/return_schedule.cpp
@@ -46,8 +46,8 @@
     if (has_place) {
         next_free_[{request.owner, request.priority}] =
             due + from_ms(to_ms(delay) / returning_share);
-        places_.insert_or_assign(place_key{request.work_class, request.priority, request.deadline},
-                                 return_place{due, request.objective});
+        places_.emplace(place_key{request.work_class, request.priority, request.deadline},
+                        return_place{due, request.objective});
     }
     return {std::min(due - now, max_retry_after), has_place};
 }
--- a/routing/return_schedule.h
+++ b/routing/return_schedule.h
@@ -56,7 +56,8 @@
     /// Owner and priority.
     using line_key = std::pair<std::optional<server_id>, std::uint32_t>;
 
-    std::map<place_key, return_place> places_;
+    /// Callers of a burst may have the same deadline.
+    std::multimap<place_key, return_place> places_;
     /// Time from which the next place of a priority is free.
     std::map<line_key, time_point> next_free_;
 };
