Cut the cost of the rule of value in long queues

Each refusal built and searched the whole queue, and the wait was summed over all requests. A new request that is worth no more than those that wait is refused without a search, only requests behind a new one are tested, and the order of the queue bounds the sum of the work ahead.

--- a/routing/admission_scheduler.cpp
+++ b/routing/admission_scheduler.cpp
@@ -180,8 +180,7 @@
     auto owner = request.owner;
     bool is_shared = !follows_owner(request);
     enqueue(std::move(request));
-    for (auto& it : displaced) {
-        it.retry_after = expected_wait(it.request, now);
+    for (const auto& it : displaced) {
         refuse(it, now);
     }
     if (is_shared || owner) {
@@ -404,6 +403,7 @@
     auto check = [&](wait_queue& queue, const server_state* owner) {
         std::size_t ahead = 0;
         auto wait = queue.empty() ? duration::zero() : room_for(queue.front(), now).wait;
+        auto rate = queue.empty() ? queue_rate{} : rate_of(queue.front());
         std::vector<bool> is_refused(queue.size());
         auto drop = [&](std::size_t n, refusal&& it) {
             is_refused[n] = true;
@@ -425,7 +425,7 @@
                 }
             }
             if (!refused && (owner != nullptr || !follows_owner(it)) &&
-                value_.settings().displaces && value_.is_hopeless(valued(it), wait, now)) {
+                value_.settings().displaces && value_.is_hopeless(valued(it, rate), wait, now)) {
                 refused = refusal{it, shortage_cause(it), wait};
             }
             if (refused) {
@@ -445,7 +445,7 @@
                 }
                 it.is_late = true;
             }
-            wait += delay_of(it);
+            wait += rate.delay_of(it);
             ++ahead;
         }
         std::size_t index = 0;
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -339,6 +339,17 @@
         bool is_displaced{false};
     };
 
+    /// How fast the requests of a queue are sent.
+    struct queue_rate {
+        /// Slots, weighted by the speed of their server.
+        double slots{0};
+        /// Shortest time between two requests that a rate limit allows.
+        duration interval{0};
+
+        /// Time by which a request delays those behind it.
+        auto delay_of(const admission_request& request) const -> duration;
+    };
+
     /// Whether a server with room for one request gets `left` rather than `right`.
     static auto is_sent_before(const admission_request& left, const admission_request& right)
         -> bool;
@@ -411,10 +422,12 @@
     /// kept.
     auto make_room(const admission_request& request, bool is_short, std::vector<refusal>& displaced,
                    time_point now) -> bool;
-    auto valued(const admission_request& request) const -> valued_request;
+    static auto valued(const admission_request& request, const queue_rate& rate) -> valued_request;
+    /// Whether waiting requests behind `place` would be refused or late because of the new one.
+    auto delays_others(const admission_request& request, const wait_queue& queue,
+                       wait_queue::const_iterator place, time_point now) const -> bool;
     auto room_for(const admission_request& request, time_point now) const -> queue_room;
-    /// Time by which a request delays those behind it.
-    auto delay_of(const admission_request& request) const -> duration;
+    auto rate_of(const admission_request& request) const -> queue_rate;
     /// Whether two waiting requests compete for the same servers.
     auto shares_servers(const admission_request& left, const admission_request& right) const
         -> bool;
@@ -424,7 +437,7 @@
     /// one itself unless another is worth clearly less.
     auto least_valuable_late(const wait_queue& queue, std::size_t index) const -> std::size_t;
     /// When the caller of a refused request should return, and whether it has a place then.
-    auto invite(const refusal& it, time_point now) -> return_schedule::invitation;
+    auto invite(const refusal& it, duration expected_wait, time_point now) -> return_schedule::invitation;
     auto has_server_for(const admission_request& request, time_point now) const -> bool;
     /// Expected wait of a request whose key has no owner now.
     auto unowned_wait(const admission_request& request, time_point now) const -> duration;
--- a/routing/admission_scheduler_room.cpp
+++ b/routing/admission_scheduler_room.cpp
@@ -16,8 +16,6 @@
 /// Bounds of the retry delay that a caller is given for other causes than a shortage of slots.
 constexpr double min_retry_after_ms = 50.0;
 constexpr double max_retry_after_ms = 2000.0;
-/// A late request displaces another one that is worth less by this factor.
-constexpr double min_late_advantage = 1.25;
 
 } // namespace
 
@@ -59,12 +57,12 @@
 auto admission_scheduler::work_ahead(const wait_queue& queue,
                                      const admission_request& request) const -> duration
 {
-    bool is_unowned = follows_owner(request) && !request.owner;
+    // The queue is sorted.
+    auto place = std::ranges::upper_bound(queue, request, is_sent_before);
     auto out = duration::zero();
-    for (const auto& other : queue) {
-        if (!is_sent_before(request, other) &&
-            (!is_unowned || other.first_key_of_range == request.first_key_of_range)) {
-            out += other.work_time;
+    for (auto it = queue.begin(); it != place; ++it) {
+        if (shares_servers(request, *it)) {
+            out += it->work_time;
         }
     }
     return out;
@@ -176,33 +174,55 @@
     return refusal{request, shortage_cause(request), wait};
 }
 
-auto admission_scheduler::valued(const admission_request& request) const -> valued_request
+auto admission_scheduler::queue_rate::delay_of(const admission_request& request) const -> duration
+{
+    return slots > 0 ? std::max(interval, from_ms(to_ms(request.work_time) / slots))
+                     : duration::zero();
+}
+
+auto admission_scheduler::valued(const admission_request& request, const queue_rate& rate)
+    -> valued_request
 {
     valued_request out;
     out.value = request.value;
     out.work = request.work_time;
-    out.delay = delay_of(request);
+    out.delay = rate.delay_of(request);
     out.objective = request.objective;
     out.deadline = request.deadline;
     out.is_late = request.is_late || request.is_expected_late;
     return out;
 }
 
-auto admission_scheduler::delay_of(const admission_request& request) const -> duration
+auto admission_scheduler::rate_of(const admission_request& request) const -> queue_rate
 {
-    double slots = usable_capacity_;
-    auto shortest = duration::zero();
-    if (follows_owner(request)) {
-        auto it = request.owner ? servers_.find(*request.owner) : servers_.end();
-        slots = it != servers_.end() ? std::max(1U, it->second.info.slots) : mean_slots_;
-        if (it != servers_.end()) {
-            if (auto limit = it->second.rate_limit.status()) {
-                shortest = from_ms(1000.0 / usable_rate(*limit).per_second);
-            }
-        }
+    if (!follows_owner(request)) {
+        return {usable_capacity_, duration::zero()};
     }
-    return slots > 0 ? std::max(shortest, from_ms(to_ms(request.work_time) / slots))
-                     : duration::zero();
+    auto it = request.owner ? servers_.find(*request.owner) : servers_.end();
+    if (it == servers_.end()) {
+        return {mean_slots_, duration::zero()};
+    }
+    queue_rate out{static_cast<double>(std::max(1U, it->second.info.slots)), duration::zero()};
+    if (auto limit = it->second.rate_limit.status()) {
+        out.interval = from_ms(1000.0 / usable_rate(*limit).per_second);
+    }
+    return out;
+}
+
+auto admission_scheduler::delays_others(const admission_request& request, const wait_queue& queue,
+                                        wait_queue::const_iterator place, time_point now) const
+    -> bool
+{
+    auto rate = rate_of(request);
+    auto wait = expected_wait(request, now) + rate.delay_of(request);
+    return std::any_of(place, queue.end(), [&](const auto& it) {
+        if (!shares_servers(request, it)) {
+            return false;
+        }
+        bool is_endangered = value_.is_endangered(valued(it, rate), wait, now);
+        wait += rate.delay_of(it);
+        return is_endangered;
+    });
 }
 
 auto admission_scheduler::valuation_of(const admission_request& request) const
@@ -254,16 +274,23 @@
     }
     auto& queue = queue_for(request);
     auto place = std::ranges::upper_bound(queue, request, is_sent_before);
-    if (!is_short && place == queue.end()) {
+    if (!is_short && (place == queue.end() || !delays_others(request, queue, place, now))) {
         return true;
     }
+    // Most requests of a burst are of similar value, and then the new one is refused.
+    if (is_short && std::ranges::none_of(queue, [&](const auto& it) {
+            return value_.is_worth_more(request.value, it.value);
+        })) {
+        return false;
+    }
+    auto rate = rate_of(request);
     std::vector<valued_request> all;
     std::vector<std::size_t> indexes;
     all.reserve(queue.size() + 1);
     indexes.reserve(queue.size() + 1);
     const auto index_of_request = queue.size();
     auto add_request = [&] {
-        all.push_back(valued(request));
+        all.push_back(valued(request, rate));
         all.back().is_arriving = true;
         indexes.push_back(index_of_request);
     };
@@ -272,7 +299,7 @@
             add_request();
         }
         if (shares_servers(request, *it)) {
-            all.push_back(valued(*it));
+            all.push_back(valued(*it, rate));
             indexes.push_back(static_cast<std::size_t>(it - queue.begin()));
         }
     }
@@ -336,27 +363,27 @@
     for (std::size_t n = 0; n < queue.size(); ++n) {
         const auto& it = queue[n];
         if ((it.is_late || it.is_expected_late) && shares_servers(queue[index], it) &&
-            it.value * min_late_advantage <= queue[out].value) {
+            value_.is_worth_more(queue[out].value, it.value)) {
             out = n;
         }
     }
     return out;
 }
 
-auto admission_scheduler::invite(const refusal& it, time_point now) -> return_schedule::invitation
+auto admission_scheduler::invite(const refusal& it, duration expected_wait, time_point now) -> return_schedule::invitation
 {
     const auto& request = it.request;
     if (it.cause != refusal_cause::overload || !settings_.value.books_returns) {
         // Randomized, so that refused callers do not all retry at the same time.
-        auto wait = it.cause == refusal_cause::overload ? it.retry_after / 2 : it.retry_after;
+        auto wait = it.cause == refusal_cause::overload ? expected_wait / 2 : it.retry_after;
         double ms = std::clamp(to_ms(wait), min_retry_after_ms, max_retry_after_ms);
         return {from_ms(ms * (0.75 + 0.5 * uniform_real(random_))), false};
     }
     // Spread over the time in which the backlog clears.
-    auto wait = from_ms(to_ms(it.retry_after) * (0.5 + 0.5 * uniform_real(random_)));
+    auto wait = from_ms(to_ms(expected_wait) * (0.5 + 0.5 * uniform_real(random_)));
     return returns_.invite({request.owner, request.priority, request.work.value(), request.deadline,
                             request.order_time},
-                           wait, delay_of(request), now);
+                           wait, rate_of(request).delay_of(request), now);
 }
 
 auto admission_scheduler::refuse(const refusal& it, time_point now) -> void
@@ -370,7 +397,7 @@
     decision.queue_time = now - request.received;
     decision.queue_length = queue != nullptr ? static_cast<std::uint32_t>(queue->size()) : 0;
     decision.expected_wait = expected_wait(request, now);
-    auto invitation = invite(it, now);
+    auto invitation = invite(it, decision.expected_wait, now);
     decision.retry_after = invitation.retry_after;
     if (request.owner) {
         decision.rate_limit = rate_limit(*request.owner, now);
--- a/routing/admission_value.cpp
+++ b/routing/admission_value.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
-#include <queue>
 #include <utility>
 
 namespace cornelswitch {
@@ -18,8 +17,7 @@
 /// similar work. Requests of much less work still precede it: with a factor of 4, those of most
 /// work took the place of others of the same priority.
 constexpr double returning_factor = 1.5;
-/// A request is refused in favour of one that is worth at least this many times as much. Requests
-/// of similar work therefore do not displace each other.
+/// A request is refused in favour of one that is worth at least this many times as much.
 constexpr double min_advantage = 1.25;
 /// Shortest work that is counted, because estimates of shorter work scatter.
 constexpr double min_work_ms = 5.0;
@@ -45,7 +43,8 @@
         // A later request displaces an earlier one only if it is clearly worth more.
         auto least = indexes_.size() - 1;
         for (std::size_t n = indexes_.size() - 1; n-- > 0;) {
-            if (queue[indexes_[n]].value * min_advantage <= queue[indexes_[least]].value) {
+            if (admission_value::is_worth_more(queue[indexes_[least]].value,
+                                               queue[indexes_[n]].value)) {
                 least = n;
             }
         }
@@ -88,6 +87,17 @@
     return it.is_late || now + counted_wait(it, wait) + it.work > it.objective;
 }
 
+auto admission_value::is_worth_more(double left, double right) -> bool
+{
+    return right * min_advantage <= left;
+}
+
+auto admission_value::is_endangered(const valued_request& it, duration wait, time_point now) const
+    -> bool
+{
+    return (!it.is_late && is_expected_late(it, wait, now)) || is_hopeless(it, wait, now);
+}
+
 auto admission_value::is_hopeless(const valued_request& it, duration wait, time_point now) const
     -> bool
 {
@@ -99,12 +109,19 @@
 {
     std::vector<displaced_request> out;
     late_places late{room.max_late};
-    // Least valuable request first among those that are sent in time.
-    auto is_worth_more = [&](std::size_t left, std::size_t right) {
+    // Requests that are sent in time; a heap, with the least valuable first, once one is late.
+    std::vector<std::size_t> in_time;
+    in_time.reserve(queue.size());
+    bool is_heap = false;
+    auto has_more_value = [&](std::size_t left, std::size_t right) {
         return queue[left].value > queue[right].value;
     };
-    std::priority_queue<std::size_t, std::vector<std::size_t>, decltype(is_worth_more)> in_time{
-        is_worth_more};
+    auto add_in_time = [&](std::size_t n) {
+        in_time.push_back(n);
+        if (is_heap) {
+            std::ranges::push_heap(in_time, has_more_value);
+        }
+    };
     auto wait = room.wait;
     auto displace = [&](const displaced_request& it) {
         out.push_back(it);
@@ -115,17 +132,22 @@
         auto wait_before = wait;
         wait += it.delay;
         if (!is_expected_late(it, wait_before, now)) {
-            in_time.push(n);
+            add_in_time(n);
             continue;
         }
         if (!it.is_late && !in_time.empty()) {
-            auto least = in_time.top();
+            if (!is_heap) {
+                std::ranges::make_heap(in_time, has_more_value);
+                is_heap = true;
+            }
+            auto least = in_time.front();
             auto shorter_wait = wait_before - queue[least].delay;
-            if (queue[least].value * min_advantage <= it.value &&
+            if (is_worth_more(it.value, queue[least].value) &&
                 !is_expected_late(it, shorter_wait, now)) {
                 displace({least, it.value});
-                in_time.pop();
-                in_time.push(n);
+                std::ranges::pop_heap(in_time, has_more_value);
+                in_time.pop_back();
+                add_in_time(n);
                 continue;
             }
         }
--- a/routing/admission_value.h
+++ b/routing/admission_value.h
@@ -96,6 +96,11 @@
     /// in the order in which requests are sent.
     auto find_displaced(std::span<const valued_request> queue, const queue_room& room,
                         time_point now) const -> std::vector<displaced_request>;
+    /// Whether a request of value `left` may displace one of value `right`. Requests of similar
+    /// work do not displace each other.
+    static auto is_worth_more(double left, double right) -> bool;
+    /// Whether a request that could be in time is late after `wait`, or useless.
+    auto is_endangered(const valued_request& it, duration wait, time_point now) const -> bool;
     /// Whether a request that waits for `wait` is answered after its deadline.
     auto is_hopeless(const valued_request& it, duration wait, time_point now) const -> bool;
 
