--- a/bench/admission_bench/main.cpp
+++ b/bench/admission_bench/main.cpp
@@ -42,7 +42,7 @@
     latest_start.min_served_share = 0;
     auto without_places = chosen;
     without_places.books_returns = false;
-    return {{"earlier rule", earlier},
+    return {{"earlier order", earlier},
             {"strict priority", strict},
             {"value by slot second", slot_second},
             {"reserved share", reserved},
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -250,9 +250,10 @@
 {
     auto level = std::min(it.level, max_counted_level);
     context_.metrics.count("admission_refused_level_" + std::to_string(level) + "_total");
-    if (it.favoured_value > 0) {
-        context_.metrics.count(it.is_displaced ? "admission_displaced_total"
-                                               : "admission_outvalued_total");
+    if (it.is_displaced) {
+        context_.metrics.count("admission_displaced_total");
+    } else if (it.favoured_value > it.value) {
+        context_.metrics.count("admission_outvalued_total");
     }
     if (it.is_returning) {
         context_.metrics.count("admission_refused_again_total");
--- a/routing/admission_scheduler.h
+++ b/routing/admission_scheduler.h
@@ -125,7 +125,8 @@
 
 /// Grounds of a decision under shortage; see `admission_value`.
 struct admission_valuation {
-    /// Value of the request, and of the one in favour of which it was refused; 0 if there was none.
+    /// Value of the request, and of the one in favour of which it was refused: for a new request
+    /// the least valuable one that waits. 0 if there was none.
     double value{0};
     double favoured_value{0};
     /// Number of more urgent priorities in use.
@@ -437,7 +438,8 @@
     /// one itself unless another is worth clearly less.
     auto least_valuable_late(const wait_queue& queue, std::size_t index) const -> std::size_t;
     /// When the caller of a refused request should return, and whether it has a place then.
-    auto invite(const refusal& it, duration expected_wait, time_point now) -> return_schedule::invitation;
+    auto invite(const refusal& it, duration expected_wait, time_point now)
+        -> return_schedule::invitation;
     auto has_server_for(const admission_request& request, time_point now) const -> bool;
     /// Expected wait of a request whose key has no owner now.
     auto unowned_wait(const admission_request& request, time_point now) const -> duration;
--- a/routing/admission_scheduler_room.cpp
+++ b/routing/admission_scheduler_room.cpp
@@ -171,7 +171,11 @@
     if (make_room(request, is_short, displaced, now)) {
         return std::nullopt;
     }
-    return refusal{request, shortage_cause(request), wait};
+    refusal out{request, shortage_cause(request), wait};
+    if (const auto* queue = find_queue(request); queue != nullptr && !queue->empty()) {
+        out.favoured_value = std::ranges::min_element(*queue, {}, &admission_request::value)->value;
+    }
+    return out;
 }
 
 auto admission_scheduler::queue_rate::delay_of(const admission_request& request) const -> duration
@@ -370,7 +374,8 @@
     return out;
 }
 
-auto admission_scheduler::invite(const refusal& it, duration expected_wait, time_point now) -> return_schedule::invitation
+auto admission_scheduler::invite(const refusal& it, duration expected_wait, time_point now)
+    -> return_schedule::invitation
 {
     const auto& request = it.request;
     if (it.cause != refusal_cause::overload || !settings_.value.books_returns) {
--- a/tests/routing/admission_value_test.cpp
+++ b/tests/routing/admission_value_test.cpp
@@ -113,6 +113,12 @@
     BOOST_TEST(refused.valuation.is_displaced);
     BOOST_TEST(refused.valuation.favoured_value > refused.valuation.value);
     BOOST_TEST(refused.retry_after.count() > 0);
+    // A less urgent request that arrives is refused in favour of the one that waits.
+    fixture.submit(request_of(fixture, 4, 2, milliseconds{100}));
+    BOOST_REQUIRE(fixture.is_refused(4));
+    BOOST_TEST(!fixture.decisions.at(4).valuation.is_displaced);
+    BOOST_TEST(fixture.decisions.at(4).valuation.favoured_value >
+               fixture.decisions.at(4).valuation.value);
     // What runs at the server is not affected.
     BOOST_TEST(fixture.is_sent(1));
     BOOST_TEST(fixture.scheduler.running_on(server_id{"a"}) == 1U);
