Divide quotas within a zone that cannot reach the coordinator

Change: without a reachable coordinator the candidate that ranks first divides the quotas for those that reach it. An allocator reserves the shares of silent instances already, so two of them stay within the quota.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -127,17 +127,32 @@
     return runtime(configuration_->content.services.begin()->first);
 }
 
+auto gateway::quota_allocating_instance() -> std::optional<instance_id>
+{
+    auto* service = allocating_service();
+    if (service == nullptr) {
+        return std::nullopt;
+    }
+    if (service->is_coordinator()) {
+        return settings_.node;
+    }
+    if (auto coordinator = service->reachable_coordinator()) {
+        return coordinator;
+    }
+    // The instances of a zone that is cut off divide their shares among themselves: together they
+    // need less reserve than each one by itself.
+    for (const auto& it : fleet_.ranking("quota")) {
+        if (it == settings_.node || mesh_.accepts_work(it)) {
+            return it;
+        }
+    }
+    return std::nullopt;
+}
+
 auto gateway::quota_hooks() -> quota_runtime::hooks
 {
     quota_runtime::hooks out;
-    out.is_coordinator = [this] {
-        auto* service = allocating_service();
-        return service != nullptr && service->is_coordinator();
-    };
-    out.coordinator = [this] {
-        auto* service = allocating_service();
-        return service == nullptr ? std::nullopt : service->reachable_coordinator();
-    };
+    out.allocator = [this] { return quota_allocating_instance(); };
     out.instances = [this] { return context_.instances(); };
     return out;
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -61,6 +61,8 @@
     /// The service whose coordinator allocates the quotas of workspaces: the first by name.
     auto allocating_service() -> service_runtime*;
     auto quota_hooks() -> quota_runtime::hooks;
+    /// Instance that divides the quotas for this one; none when none can be reached.
+    auto quota_allocating_instance() -> std::optional<instance_id>;
     auto mesh_hooks() -> peer_mesh::hooks;
     auto replicator_hooks() -> store_replicator::hooks;
     /// Handles a message that a coordinator candidate sent over this instance's link to it.
--- a/gateway/quota_runtime.cpp
+++ b/gateway/quota_runtime.cpp
@@ -128,7 +128,8 @@
 {
     auto n = hooks_.instances();
     active_->limiter.set_instances(n);
-    if (hooks_.is_coordinator()) {
+    auto chosen = hooks_.allocator();
+    if (chosen == self_) {
         if (!active_->allocator) {
             active_->allocator.emplace(bounds_, now);
             active_->allocator->configure(active_->quotas, now);
@@ -143,9 +144,7 @@
         active_->sources.clear();
         log_.line("quota-allocator").text("state", "stop");
     }
-    auto coordinator = hooks_.coordinator();
-    active_->limiter.set_allocator(coordinator ? std::optional{coordinator->value()} : std::nullopt,
-                                   now);
+    active_->limiter.set_allocator(chosen ? std::optional{chosen->value()} : std::nullopt, now);
 }
 
 auto quota_runtime::tick() -> void
@@ -170,13 +169,13 @@
         send_notices(now);
         return;
     }
-    auto coordinator = hooks_.coordinator();
-    if (!coordinator) {
+    auto chosen = hooks_.allocator();
+    if (!chosen || chosen == self_) {
         return;
     }
-    active_->limiter.set_allocator(coordinator->value(), now);
+    active_->limiter.set_allocator(chosen->value(), now);
     auto report = active_->limiter.make_report(now);
-    if (!mesh_.send(*coordinator, report)) {
+    if (!mesh_.send(*chosen, report)) {
         active_->limiter.restore(report);
     }
 }
@@ -199,7 +198,7 @@
     -> void
 {
     // An answer of an earlier allocator must not count for the present one.
-    if (active_ && !active_->allocator && hooks_.coordinator() == from) {
+    if (active_ && !active_->allocator && hooks_.allocator() == from) {
         auto now = loop_.now();
         active_->limiter.set_allocator(from.value(), now);
         active_->limiter.on_allocation(allocation, now);
--- a/gateway/quota_runtime.h
+++ b/gateway/quota_runtime.h
@@ -22,16 +22,15 @@
 namespace cornelswitch {
 
 /// Quotas of the workspaces at one instance: decides on its requests, reports them to the allocator
-/// and is the allocator itself while it is the coordinator of the first service.
+/// and is the allocator itself while it is the coordinator of the first service, or takes its place
+/// for the instances that cannot reach it.
 ///
 /// Without a workspace with a quota it holds no state and sends nothing.
 class quota_runtime {
 public:
     struct hooks {
-        /// Whether this instance is the coordinator of the service whose name sorts first.
-        std::function<bool()> is_coordinator;
-        /// The coordinator of that service, if it is another instance that can be reached.
-        std::function<std::optional<instance_id>()> coordinator;
+        /// The instance that divides the quotas, this one included; none when none can be reached.
+        std::function<std::optional<instance_id>()> allocator;
         /// Number of known instances, this one included.
         std::function<std::uint32_t()> instances;
     };
@@ -66,7 +65,7 @@
         }
 
         quota_limiter limiter;
-        /// Set at the coordinator.
+        /// Set while this instance divides the quotas.
         std::optional<quota_allocator> allocator;
         std::vector<std::pair<workspace_id, request_quota>> quotas;
         /// Sessions of the instances that reported to this one.
