--- a/core/ids.h
+++ b/core/ids.h
@@ -30,6 +30,9 @@
 using config_version = strong_id<struct config_version_tag, std::uint64_t>;
 /// Term of a dispatcher lease, which increases with each takeover; 0 means none.
 using lease_term = strong_id<struct lease_term_tag, std::uint64_t>;
+/// Number of the store's state, which increases with each restore of the store from a copy; 0 means
+/// a store that has no eras.
+using store_era = strong_id<struct store_era_tag, std::uint64_t>;
 /// Sequence number of a record, unique for an instance id and boot id of the writer.
 using writer_sequence = strong_id<struct writer_sequence_tag, std::uint64_t>;
 /// Number of a request, unique within one process run of a dispatcher.
