Restore the model's store at a coordinator that was replaced

Cause: in random runs a coordinator hardly ever comes back to a restored store just after another one, whose record is lost, has moved keys.

Change: three of ten restores of the model cut the coordinator off for 8.5 to 11.5 s, have another one take over, and restore a copy from before it.

The model does not notice when a coordinator is not suspended, or keeps ranges however long ago it was confirmed or that no record confirms; the named cases guard the first two.

--- a/tests/ownership/succession_model.cpp
+++ b/tests/ownership/succession_model.cpp
@@ -825,7 +825,7 @@
 {
     at(seconds{2}, [this] { inject_fault(); });
     if (options_.restores_store) {
-        at(between(3000, 12'000), [this] { restore_store(); });
+        at(between(3000, 12'000), [this] { start_restores(); });
     }
     // The store reassigns the role of an instance that cannot renew its membership.
     std::function<void()> reassign = [this, &reassign] {
--- a/tests/ownership/succession_model.h
+++ b/tests/ownership/succession_model.h
@@ -111,7 +111,11 @@
     auto restart_server(lease_server& server) -> void;
 
     auto inject_fault() -> void;
-    auto restore_store() -> void;
+    auto start_restores() -> void;
+    auto restore_store(duration age) -> void;
+    /// Cuts the coordinator off until another one has moved keys, and then restores a copy that is
+    /// older than the term of the other one.
+    auto restore_at_replaced_coordinator() -> void;
     /// Delivers an append to the store a second time, in some cases.
     auto repeat_append(const coordinator_record& record, std::size_t expected_end) -> void;
     auto check(const std::string& event) -> void;
--- a/tests/ownership/succession_model_restores.cpp
+++ b/tests/ownership/succession_model_restores.cpp
@@ -14,16 +14,28 @@
 /// Restores of one run come in groups, so that instances meet several in a row.
 constexpr double grouped_restores = 0.3;
 constexpr double repeated_appends = 0.1;
+constexpr double replaced_coordinators = 0.3;
+constexpr duration longest_replacement = milliseconds{12'000};
 
 } // namespace
 
-auto succession_model::restore_store() -> void
+auto succession_model::start_restores() -> void
 {
     if (time_.now() >= faults_end_) {
         return;
     }
-    // Some copies are so recent that they lose only the last record or none.
-    auto age = chance(0.3) ? between(0, 300) : between(0, 10'000);
+    if (chance(replaced_coordinators)) {
+        restore_at_replaced_coordinator();
+    } else {
+        // Some copies are so recent that they lose only the last record or none.
+        restore_store(chance(0.3) ? between(0, 300) : between(0, 10'000));
+    }
+    at(chance(grouped_restores) ? between(10, 3000) : between(4000, 15'000),
+       [this] { start_restores(); });
+}
+
+auto succession_model::restore_store(duration age) -> void
+{
     auto lost = store_.restore(time_.now() - age);
     ++result_.restores;
     trace("the store is restored to era " + std::to_string(store_.era()) + " and loses " +
@@ -34,8 +46,19 @@
     if (chance(0.3)) {
         assigned_ = uniform_below(random_, instance_count);
     }
-    at(chance(grouped_restores) ? between(10, 3000) : between(4000, 15'000),
-       [this] { restore_store(); });
+}
+
+auto succession_model::restore_at_replaced_coordinator() -> void
+{
+    auto* current = leader();
+    if (current == nullptr || time_.now() + longest_replacement >= faults_end_) {
+        return;
+    }
+    auto length = between(8500, 11'500);
+    current->cut_until = time_.now() + length;
+    assigned_ = (current->index + 1) % instance_count;
+    trace(current->id.value() + " is cut off until the store is restored");
+    at(length, [this] { restore_store(between(7500, 10'000)); });
 }
 
 auto succession_model::named_era() const -> store_era
