Load the copies anew and suspend coordinators in a new era

Cause: after a restore of the store, offsets are assigned again and records are missing; copies, conditions and roles continued from before.

Change: `store_topic` loads a whole copy in a new era and serves what it knows until then. Records that the store lacks are kept for three seconds, evacuations until a record replaces them. `conditional_topic_writer` writes nothing on an offset of an earlier era. Updates and keepalives between instances carry the era as a last field, which earlier builds ignore and which is left out without eras; records of a lower era are not applied, and a higher era is taken over. Services suspend their coordinator and write its record again.

--- a/gateway/conditional_topic_writer.cpp
+++ b/gateway/conditional_topic_writer.cpp
@@ -10,7 +10,7 @@
 
 } // namespace
 
-conditional_topic_writer::conditional_topic_writer(event_loop& loop, unary_client& store,
+conditional_topic_writer::conditional_topic_writer(event_loop& loop, store_client& store,
                                                    event_log& log, std::string topic)
     : loop_{loop}, store_{store}, log_{log}, topic_{std::move(topic)}
 {
@@ -28,6 +28,12 @@
     start_next_write();
 }
 
+auto conditional_topic_writer::on_store_era() -> void
+{
+    last_append_end_ = {};
+    needs_read_ = true;
+}
+
 auto conditional_topic_writer::on_copy_updated() -> void
 {
     needs_read_ = false;
@@ -37,7 +43,7 @@
 auto conditional_topic_writer::start_next_write() -> void
 {
     if (is_busy_ || needs_read_ || queue_.empty() || topic_copy_ == nullptr ||
-        !topic_copy_->is_loaded()) {
+        !topic_copy_->is_loaded() || topic_copy_->awaits_copy()) {
         return;
     }
     auto it = std::move(queue_.front());
--- a/gateway/conditional_topic_writer.h
+++ b/gateway/conditional_topic_writer.h
@@ -20,12 +20,15 @@
     /// newest record then or later.
     using done_function = std::function<void(time_point sent_at)>;
 
-    conditional_topic_writer(event_loop& loop, unary_client& store, event_log& log,
+    conditional_topic_writer(event_loop& loop, store_client& store, event_log& log,
                              std::string topic);
 
     auto set_copy(store_topic& copy) -> void { topic_copy_ = &copy; }
     /// Queues a write; replaces an earlier write of `key` that has not started.
     auto write(const std::string& key, value_function value, done_function done) -> void;
+    /// The store was restored from a copy: conditions that were read before do not hold, so the
+    /// next write waits until the copy was loaded anew.
+    auto on_store_era() -> void;
     /// The copy has been brought up to date.
     auto on_copy_updated() -> void;
     auto writes() const -> std::uint64_t { return writes_; }
@@ -40,7 +43,7 @@
     auto start_next_write() -> void;
 
     event_loop& loop_;
-    unary_client& store_;
+    store_client& store_;
     event_log& log_;
     std::string topic_;
     store_topic* topic_copy_{nullptr};
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -54,7 +54,8 @@
 
 gateway::gateway(event_loop& loop, node_settings settings, event_log& log, boot_id boot)
     : loop_{loop}, settings_{std::move(settings)}, log_{log}, boot_{boot}, random_{boot.value()},
-      store_{loop, settings_.store_address, store_client_options()}, directory_{log},
+      store_connections_{loop, settings_.store_address, store_client_options()},
+      store_{loop, store_connections_, log}, directory_{log},
       fleet_{{settings_.node, settings_.zone, settings_.peer_address, settings_.cpu_share},
              loop.now()},
       mesh_{loop, log, metrics_, fleet_.self(), boot, mesh_hooks()},
@@ -73,6 +74,7 @@
       context_{make_runtime_context()}
 {
     ownership_.set_copy(replicator_.coordination());
+    store_.set_on_new_era([this](store_era era) { on_store_era(era); });
     directory_.set_on_ended(
         [this](const service_id& service, const server_id& server, std::int64_t incarnation) {
             if (auto* target = runtime(service)) {
@@ -206,7 +208,14 @@
         metrics_.set("server_connects_total", static_cast<double>(pool_.totals().connects));
         metrics_.set("server_requests_total", static_cast<double>(pool_.totals().requests));
         metrics_.set("stray_responses_total", static_cast<double>(pool_.totals().stray_responses));
-        metrics_.set("store_calls_total", static_cast<double>(store_.calls()));
+        metrics_.set("store_calls_total", static_cast<double>(store_connections_.calls()));
+        if (store_.era() != store_era{}) {
+            metrics_.set("store_era", static_cast<double>(store_.era().value()));
+            metrics_.set("store_stale_responses_total",
+                         static_cast<double>(store_.tracker().stale_responses()));
+            metrics_.set("store_records_dropped_total",
+                         static_cast<double>(replicator_.dropped_records()));
+        }
         metrics_.set("ownership_writes_total", static_cast<double>(ownership_.writes()));
         metrics_.set("log_lines_total", static_cast<double>(log_.written()));
         metrics_.set("log_lines_dropped_total", static_cast<double>(log_.dropped()));
@@ -270,8 +279,8 @@
 {
     if (const auto* update = std::get_if<topic_update>(&message)) {
         replicator_.on_update(from, *update);
-    } else if (std::holds_alternative<subscription_keepalive>(message)) {
-        replicator_.on_keepalive(from);
+    } else if (const auto* keepalive = std::get_if<subscription_keepalive>(&message)) {
+        replicator_.on_keepalive(from, keepalive->era);
     } else if (const auto* status = std::get_if<fleet_status>(&message)) {
         replicator_.on_status(*status);
     } else if (const auto* report = std::get_if<progress_report>(&message)) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -67,6 +67,8 @@
     auto on_server_records(const std::vector<store_topic::change>& changes) -> void;
     auto on_coordination_records(const std::vector<store_topic::change>& changes,
                                  time_point confirmed_at) -> void;
+    /// Processes the first knowledge that the store was restored from a copy.
+    auto on_store_era(store_era era) -> void;
     auto apply_configuration(const std::string& value) -> void;
     /// Updates the state that depends on whether this instance coordinates any service.
     auto apply_role() -> void;
@@ -101,7 +103,8 @@
     boot_id boot_;
     random_engine random_;
     gateway_metrics metrics_;
-    unary_client store_;
+    unary_client store_connections_;
+    store_client store_;
     backend_directory directory_;
     fleet_view fleet_;
     peer_mesh mesh_;
--- a/gateway/gateway_store.cpp
+++ b/gateway/gateway_store.cpp
@@ -105,11 +105,18 @@
             continue;
         }
         it = std::make_unique<service_runtime>(context_, service);
-        auto record = replicator_.coordination().records().find(it->key());
-        if (record != replicator_.coordination().records().end()) {
-            auto decoded_record = decode_coordinator_record(record->second);
+        if (store_.era() != store_era{}) {
+            it->on_store_era(store_.era());
+        }
+        if (replicator_.coordination().is_loaded() && !replicator_.coordination().awaits_copy()) {
+            auto record = replicator_.coordination().records().find(it->key());
+            bool is_recorded = record != replicator_.coordination().records().end();
+            auto decoded_record = is_recorded ? decode_coordinator_record(record->second)
+                                              : result<coordinator_record>{error{}};
             if (decoded_record.has_value()) {
                 it->on_record(decoded_record.value(), replicator_.coordination().last_read());
+            } else if (!it->is_record_read()) {
+                it->on_record(std::nullopt, replicator_.coordination().last_read());
             }
         }
     }
@@ -148,12 +155,32 @@
             service->on_record(record.value(), confirmed_at);
         }
     }
+    const auto& records = replicator_.coordination().records();
     for (auto& [name, it] : runtimes_) {
+        if (!it->is_record_read()) {
+            // The first copy of a new era need not change the record.
+            auto found = records.find(it->key());
+            auto record = found == records.end() ? result<coordinator_record>{error{}}
+                                                 : decode_coordinator_record(found->second);
+            it->on_record(record.has_value() ? std::optional{record.value()} : std::nullopt,
+                          confirmed_at);
+        }
         it->on_confirmed(confirmed_at);
     }
     ownership_.on_copy_updated();
 }
 
+auto gateway::on_store_era(store_era era) -> void
+{
+    // Coordinators are suspended before anything of the new era is read.
+    for (auto& [name, it] : runtimes_) {
+        it->on_store_era(era);
+    }
+    ownership_.on_store_era();
+    replicator_.on_store_era();
+    metrics_.count("store_eras_seen_total");
+}
+
 auto gateway::apply_role() -> void
 {
     bool is_coordinator =
--- a/gateway/peer_message.cpp
+++ b/gateway/peer_message.cpp
@@ -141,10 +141,17 @@
     }
     auto operator()(const topic_update& it) -> void
     {
-        fields(static_cast<std::uint8_t>(it.topic), it.from.value(), it.end.value(), to_us(it.age),
-               it.is_from_store, it.is_snapshot, it.is_reload,
-               it.compressed.bytes.empty() ? it.records : no_records, it.compressed.bytes,
-               it.compressed.base_key, it.compressed.base_hash);
+        auto pack = [&](const auto&... more) {
+            fields(static_cast<std::uint8_t>(it.topic), it.from.value(), it.end.value(),
+                   to_us(it.age), it.is_from_store, it.is_snapshot, it.is_reload,
+                   it.compressed.bytes.empty() ? it.records : no_records, it.compressed.bytes,
+                   it.compressed.base_key, it.compressed.base_hash, more...);
+        };
+        if (it.era == store_era{}) {
+            pack();
+        } else {
+            pack(it.era.value());
+        }
     }
     auto operator()(const update_subscription& it) -> void
     {
@@ -155,7 +162,14 @@
         }
         fields(topics);
     }
-    auto operator()(const subscription_keepalive&) -> void { fields(); }
+    auto operator()(const subscription_keepalive& it) -> void
+    {
+        if (it.era == store_era{}) {
+            fields();
+        } else {
+            fields(it.era.value());
+        }
+    }
     auto operator()(const fleet_status& it) -> void { fields(it.instances); }
     auto operator()(const subscriber_count_report& it) -> void { fields(it.instances); }
     auto operator()(const peer_ping&) -> void { fields(); }
@@ -360,6 +374,16 @@
     return out;
 }
 
+auto read_era(reader& from) -> store_era
+{
+    return from.has_more() ? from.id<store_era>() : store_era{};
+}
+
+auto read_keepalive(reader& from) -> subscription_keepalive
+{
+    return {read_era(from)};
+}
+
 auto read_topic_update(reader& from) -> topic_update
 {
     topic_update out;
@@ -374,6 +398,7 @@
     out.compressed.bytes = from.next<std::string>();
     out.compressed.base_key = from.next<std::string>();
     out.compressed.base_hash = from.next<std::uint64_t>();
+    out.era = read_era(from);
     return out;
 }
 
@@ -444,7 +469,7 @@
     read_as<read_stopped>,
     read_as<read_topic_update>,
     read_as<read_subscription>,
-    read_empty<subscription_keepalive>,
+    read_as<read_keepalive>,
     read_as<read_status>,
     read_as<read_subscriber_count_report>,
     read_empty<peer_ping>,
--- a/gateway/peer_message.h
+++ b/gateway/peer_message.h
@@ -151,6 +151,9 @@
     std::vector<std::pair<std::string, std::string>> records;
     /// Sent in place of the records when it is not empty.
     compressed_records compressed;
+    /// Era of the store in which the records were read. 0, for a store without eras and from
+    /// instances of earlier versions, is not sent.
+    store_era era;
 };
 
 /// Subscribes to updates of topics.
@@ -161,7 +164,10 @@
 };
 
 /// Keepalive of a subscription while there are no updates.
-struct subscription_keepalive {};
+struct subscription_keepalive {
+    /// Highest era of the store that the sender has seen; 0 is not sent.
+    store_era era;
+};
 
 /// Number of instances in the fleet, as counted by the reader.
 struct fleet_status {
--- a/gateway/service_runtime.cpp
+++ b/gateway/service_runtime.cpp
@@ -114,7 +114,7 @@
 
 auto service_runtime::tick(time_point now) -> void
 {
-    if (succession_.role().is_wanted() && !is_taking_over_) {
+    if (succession_.needs_takeover(now) && !is_taking_over_) {
         take_over();
     }
     if (is_coordinator() && ranges_) {
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -65,6 +65,10 @@
     /// Handles the newest coordinator record. It was still the newest one at `confirmed_at`.
     auto on_record(const std::optional<coordinator_record>& record, time_point confirmed_at)
         -> void;
+    /// The store was restored from a copy.
+    auto on_store_era(store_era era) -> void;
+    /// Whether the record of the service was read in the present era of the store.
+    auto is_record_read() const -> bool { return succession_.is_record_read(); }
     /// The newest record had not changed at `confirmed_at`.
     auto on_confirmed(time_point confirmed_at) -> void;
     auto update_servers(time_point now) -> void;
--- a/gateway/service_runtime_role.cpp
+++ b/gateway/service_runtime_role.cpp
@@ -22,9 +22,18 @@
                                 time_point confirmed_at) -> void
 {
     bool is_mine = record && succession_.role().is_mine(*record);
-    bool is_new = record != succession_.record();
     auto previous = succession_.record();
+    auto dropped = succession_.dropped_records();
     auto change = succession_.on_record(record, context_.time.now());
+    if (succession_.dropped_records() != dropped) {
+        context_.log.line("ownership-of-earlier-era")
+            .text("service", service_.name.value())
+            .text("peer", record->coordinator.value())
+            .number("term", static_cast<std::int64_t>(record->term.value()));
+        context_.metrics.count("ownership_records_of_earlier_eras_total");
+        return;
+    }
+    bool is_new = record != previous;
     if (is_new) {
         recorded_ranges_.clear();
         if (record) {
@@ -49,6 +58,16 @@
     }
 }
 
+auto service_runtime::on_store_era(store_era era) -> void
+{
+    succession_.on_store_era(era, authority(), context_.time.now());
+    if (succession_.needs_new_term()) {
+        context_.log.line("coordinator-suspended")
+            .text("service", service_.name.value())
+            .number("era", static_cast<std::int64_t>(era.value()));
+    }
+}
+
 auto service_runtime::on_confirmed(time_point confirmed_at) -> void
 {
     if (is_coordinator() && ranges_) {
@@ -62,7 +81,7 @@
     context_.store.write(
         key(),
         [this]() -> std::optional<std::string> {
-            auto next = succession_.make_takeover_record();
+            auto next = succession_.make_takeover_record(authority());
             if (!next) {
                 is_taking_over_ = false;
                 return std::nullopt;
@@ -96,6 +115,13 @@
     for (const auto& node : asked_instances) {
         reclaim_requests(node);
     }
+    if (ranges_) {
+        // A coordinator that starts another term in a new era of the store. The destruction is
+        // deferred, because one of its handlers may be running.
+        ranges_->authority().stop();
+        auto retired = std::shared_ptr<range_coordinator>{std::move(ranges_)};
+        context_.loop.schedule(duration::zero(), [retired] {});
+    }
     if (service_.is_keyed) {
         ranges_ = std::make_unique<range_coordinator>(context_.loop, context_.time, context_.log,
                                                       context_.directory, service_.name,
--- a/gateway/store_replicator.cpp
+++ b/gateway/store_replicator.cpp
@@ -78,7 +78,7 @@
 
 } // namespace
 
-store_replicator::store_replicator(event_loop& loop, unary_client& store, event_log& log,
+store_replicator::store_replicator(event_loop& loop, store_client& store, event_log& log,
                                    random_engine& random, fleet_view& fleet, peer_mesh& mesh,
                                    bool is_first_start, hooks receivers)
     : loop_{loop}, store_{store}, log_{log}, random_{random}, fleet_{fleet}, mesh_{mesh},
@@ -131,7 +131,8 @@
                             operator_read_interval,
                             operator_response_timeout,
                             true,
-                            milliseconds{1200}};
+                            milliseconds{1200},
+                            [](const std::string& key) { return evacuated_zone(key).has_value(); }};
     make(shared_topic::operators, operators,
          [this](const changes& records, time_point) { hooks_.on_operators(records); }, {});
     topic_options own{std::string{coordination_topic_name()},
@@ -303,7 +304,7 @@
     if (now >= next_keepalive_) {
         next_keepalive_ = now + keepalive_interval;
         if (can_receive_updates(now)) {
-            send_to_subscribers(subscription_keepalive{});
+            send_to_subscribers(subscription_keepalive{store_.era()});
         }
     }
 }
@@ -422,7 +423,8 @@
     update_subscription wanted;
     for (auto it : all_topics) {
         auto& copy = topic(it);
-        wanted.topics.emplace_back(it, copy.is_loaded() ? std::optional{copy.end()} : std::nullopt);
+        bool has_copy = copy.is_loaded() && !copy.awaits_copy();
+        wanted.topics.emplace_back(it, has_copy ? std::optional{copy.end()} : std::nullopt);
         if (!fleet_.is_member()) {
             copy.follow_peers();
         }
--- a/gateway/store_replicator.h
+++ b/gateway/store_replicator.h
@@ -35,7 +35,7 @@
         std::function<void(bool is_available)> on_store;
     };
 
-    store_replicator(event_loop& loop, unary_client& store, event_log& log, random_engine& random,
+    store_replicator(event_loop& loop, store_client& store, event_log& log, random_engine& random,
                      fleet_view& fleet, peer_mesh& mesh, bool is_first_start, hooks receivers);
     store_replicator(const store_replicator&) = delete;
     auto operator=(const store_replicator&) -> store_replicator& = delete;
@@ -50,7 +50,11 @@
     auto refresh_coordination() -> void;
 
     auto on_update(const instance_id& from, topic_update update) -> void;
-    auto on_keepalive(const instance_id& from) -> void;
+    auto on_keepalive(const instance_id& from, store_era era) -> void;
+    /// The store was restored from a copy: the copies are loaded anew, and subscribers are told.
+    auto on_store_era() -> void;
+    /// Records that were given up because a restored store lacks them.
+    auto dropped_records() const -> std::uint64_t;
     auto on_status(const fleet_status& status) -> void;
     auto on_subscription(admission_source from, const update_subscription& wanted) -> void;
     auto on_subscriber_count(admission_source from, const subscriber_count_report& report) -> void;
@@ -123,9 +127,11 @@
     /// off from the store and from every other candidate.
     auto can_receive_updates(time_point now) const -> bool;
     auto age(shared_topic it) const -> duration;
+    /// Whether records that were read in `era` may be applied. Passes on the news of a higher one.
+    auto accepts_era(const instance_id& from, store_era era) -> bool;
 
     event_loop& loop_;
-    unary_client& store_;
+    store_client& store_;
     event_log& log_;
     random_engine& random_;
     fleet_view& fleet_;
--- a/gateway/store_replicator_updates.cpp
+++ b/gateway/store_replicator_updates.cpp
@@ -14,6 +14,11 @@
 constexpr std::size_t max_recent_updates = 16;
 /// Minimum time between requests for missing updates of a topic.
 constexpr duration catch_up_interval = milliseconds{150};
+/// Longer than the age of any record that an instance forwards after a restore.
+constexpr duration unnamed_era_distrust = std::chrono::seconds{10};
+constexpr std::array<shared_topic, 4> all_shared_topics{
+    shared_topic::servers, shared_topic::operators, shared_topic::coordination,
+    shared_topic::candidates};
 
 } // namespace
 
@@ -46,6 +51,13 @@
         update.records.emplace_back(record.key, record.value);
     }
     update.is_from_store = true;
+    update.era = store_.era();
+    if (topic(it).is_first_in_era()) {
+        // Changes against a copy of an earlier era are of no use to others.
+        update.is_snapshot = true;
+        update.is_reload = false;
+        update.records = topic(it).snapshot();
+    }
     compress_update(update, [&](const std::string& key) -> const std::string* {
         auto found = std::ranges::find(records, key, &store_topic::change::key);
         return found == records.end() ? nullptr : &found->previous;
@@ -59,7 +71,11 @@
     update.is_from_store = false;
     auto n = index(update.topic);
     auto& recent = recent_updates_[n];
-    recent.push_back({update.from, update.end, update.records, update.is_reload});
+    if (update.is_snapshot && update.era != store_era{}) {
+        recent.clear();
+    } else {
+        recent.push_back({update.from, update.end, update.records, update.is_reload});
+    }
     if (recent.size() > max_recent_updates) {
         recent.pop_front();
     }
@@ -86,6 +102,7 @@
     update.end = from.end();
     update.age = age(it);
     update.is_snapshot = true;
+    update.era = store_.era();
     update.records = from.snapshot();
     compress_update(update, {});
     mesh_.send_to_session(to, update);
@@ -113,6 +130,7 @@
         update.end = next->end;
         update.age = age(it);
         update.is_reload = next->is_reload;
+        update.era = store_.era();
         update.records = next->records;
         compress_update(update, {});
         mesh_.send_to_session(to, update);
@@ -139,7 +157,7 @@
             subscribers_[from].wants[n] = true;
             subscribers_[from].is_synchronized[n] = false;
         }
-        if (!topic(it).is_loaded()) {
+        if (!topic(it).is_loaded() || topic(it).awaits_copy()) {
             continue;
         }
         if (!end || !send_missed_updates(from, it, *end)) {
@@ -165,6 +183,9 @@
         source_last_received_at_ = now;
     }
     candidate_alive_at_ = std::max(candidate_alive_at_, now - update.age);
+    if (!accepts_era(from, update.era)) {
+        return;
+    }
     // A coordinator confirms its role by its own reads from the store.
     if (update.topic == shared_topic::coordination && is_coordinator_) {
         return;
@@ -197,12 +218,13 @@
         return;
     }
     bool has_different_base = unpacked.has_error() && update.end > before;
-    bool needs_catch_up = !was_loaded || update.from > before || has_different_base ||
+    bool needs_copy = !was_loaded || copy.awaits_copy();
+    bool needs_catch_up = needs_copy || update.from > before || has_different_base ||
                           (update.is_reload && update.end > before);
     if (needs_catch_up && now >= next_catch_up_[index(update.topic)]) {
         next_catch_up_[index(update.topic)] = now + catch_up_interval;
         update_subscription wanted;
-        wanted.topics.emplace_back(update.topic, was_loaded ? std::optional{before} : std::nullopt);
+        wanted.topics.emplace_back(update.topic, needs_copy ? std::nullopt : std::optional{before});
         mesh_.send(from, wanted);
     }
 }
@@ -212,8 +234,38 @@
     return topic(it).peer_update_at() ? last_sender_[index(it)].value() : "store";
 }
 
-auto store_replicator::on_keepalive(const instance_id& from) -> void
+auto store_replicator::accepts_era(const instance_id& from, store_era era) -> bool
+{
+    store_.on_peer_era(era, from.value());
+    if (era == store_.era()) {
+        return true;
+    }
+    // An instance of an earlier version does not name the era. Shortly after a restore its records
+    // may be older.
+    return era == store_era{} && loop_.now() >= store_.tracker().seen_at() + unnamed_era_distrust;
+}
+
+auto store_replicator::on_store_era() -> void
+{
+    for (auto it : all_shared_topics) {
+        recent_updates_[index(it)].clear();
+        topic(it).on_store_era();
+    }
+    send_to_subscribers(subscription_keepalive{store_.era()});
+}
+
+auto store_replicator::dropped_records() const -> std::uint64_t
+{
+    std::uint64_t out = 0;
+    for (const auto& it : topics_) {
+        out += it->dropped_records();
+    }
+    return out;
+}
+
+auto store_replicator::on_keepalive(const instance_id& from, store_era era) -> void
 {
+    store_.on_peer_era(era, from.value());
     candidate_alive_at_ = loop_.now();
     if (source_ == from) {
         source_last_received_at_ = candidate_alive_at_;
--- a/gateway/store_topic.cpp
+++ b/gateway/store_topic.cpp
@@ -10,10 +10,13 @@
 /// Delay before the first retry of a failed read; doubles so that a store that is down gets few
 /// calls.
 constexpr duration min_retry_delay = std::chrono::milliseconds{150};
+/// Time after a restore of the store in which its writers write their records again. Servers take
+/// about two seconds.
+constexpr duration restore_grace = std::chrono::seconds{3};
 
 } // namespace
 
-store_topic::store_topic(event_loop& loop, unary_client& store, event_log& log,
+store_topic::store_topic(event_loop& loop, store_client& store, event_log& log,
                          topic_options options, hooks receivers)
     : loop_{loop}, store_{store}, log_{log}, options_{std::move(options)}, hooks_{
                                                                                std::move(receivers)}
@@ -24,6 +27,80 @@
 {
     *alive_ = false;
     loop_.cancel(timer_);
+    loop_.cancel(drop_timer_);
+}
+
+auto store_topic::on_store_era() -> void
+{
+    restore_grace_until_ = loop_.now() + restore_grace;
+    if (!is_loaded_) {
+        return;
+    }
+    awaits_copy_ = true;
+    can_follow_log_ = false;
+    loop_.cancel(drop_timer_);
+    drop_timer_ = loop_.schedule(restore_grace, [this] { drop_missing(); });
+    if (!peer_update_at_) {
+        read_now();
+        return;
+    }
+    // The instance that reads for this one sends a copy.
+    peer_update_at_ = loop_.now();
+    is_reading_ = false;
+    ++read_number_;
+    schedule(fallback_delay_);
+}
+
+auto store_topic::snapshot() const -> record_list
+{
+    record_list out;
+    for (const auto& it : records_) {
+        if (!missing_.contains(it.first)) {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
+auto store_topic::keep_missing(std::map<std::string, std::string>& records) -> void
+{
+    auto missing_before = std::exchange(missing_, {});
+    bool is_grace = loop_.now() < restore_grace_until_;
+    for (const auto& [key, value] : records_) {
+        bool may_be_lost = awaits_copy_ || missing_before.contains(key);
+        bool is_kept = is_grace || (may_be_lost && options_.keeps_after_restore &&
+                                    options_.keeps_after_restore(key));
+        if (is_kept && records.emplace(key, value).second) {
+            missing_.insert(key);
+        }
+    }
+}
+
+auto store_topic::drop_missing() -> void
+{
+    if (awaits_copy_) {
+        return;
+    }
+    std::vector<change> changes;
+    std::erase_if(missing_, [&](const std::string& key) {
+        if (options_.keeps_after_restore && options_.keeps_after_restore(key)) {
+            return false;
+        }
+        auto known = records_.find(key);
+        changes.push_back({key, {}, std::move(known->second)});
+        records_.erase(known);
+        return true;
+    });
+    if (changes.empty()) {
+        return;
+    }
+    dropped_records_ += changes.size();
+    log_.line("store-records-dropped")
+        .text("topic", options_.topic)
+        .number("records", static_cast<std::int64_t>(changes.size()));
+    if (hooks_.on_update) {
+        hooks_.on_update(changes, last_read_);
+    }
 }
 
 auto store_topic::start(duration delay) -> void
@@ -128,11 +205,13 @@
             }
             auto from = end_;
             bool was_loaded = is_loaded_;
+            is_first_in_era_ = awaits_copy_;
             auto changes = replace(std::move(loading_), loading_end_);
             loading_.clear();
             if (was_loaded && hooks_.on_store_read) {
                 hooks_.on_store_read(changes, from, end_, true);
             }
+            is_first_in_era_ = false;
             on_success(changes, read_started_);
         });
 }
@@ -141,6 +220,9 @@
     -> std::vector<change>
 {
     std::vector<change> out;
+    if (restore_grace_until_ != time_point{}) {
+        keep_missing(records);
+    }
     for (auto& [key, value] : records_) {
         if (!records.contains(key)) {
             out.push_back({key, {}, std::move(value)});
@@ -158,6 +240,7 @@
     end_ = end;
     can_follow_log_ = true;
     is_loaded_ = true;
+    awaits_copy_ = false;
     return out;
 }
 
@@ -198,6 +281,7 @@
 {
     std::vector<change> out;
     for (const auto& it : records) {
+        missing_.erase(it.key);
         auto known = records_.find(it.key);
         change next{it.key, it.value, {}};
         if (known != records_.end()) {
@@ -268,7 +352,7 @@
                                duration age, bool is_reload) -> bool
 {
     bool is_contiguous = is_reload ? from == end_ : from <= end_;
-    if (!is_loaded_ || !is_contiguous || end < end_) {
+    if (!is_loaded_ || awaits_copy_ || !is_contiguous || end < end_) {
         return false;
     }
     std::vector<keyed_record> page;
@@ -283,7 +367,7 @@
 
 auto store_topic::apply_snapshot(log_offset end, const record_list& records, duration age) -> bool
 {
-    if (is_loaded_ && end < end_) {
+    if (is_loaded_ && !awaits_copy_ && end < end_) {
         return false;
     }
     on_peer_update(replace({records.begin(), records.end()}, end), age);
--- a/gateway/store_topic.h
+++ b/gateway/store_topic.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "gateway/event_log.h"
-#include "gateway/unary_client.h"
+#include "gateway/store_client.h"
 #include "platform/store_codec.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -30,6 +31,8 @@
     bool reloads_after_outage{false};
     /// Maximum delay before a failed read is retried.
     duration max_retry_delay{std::chrono::milliseconds{600}};
+    /// Whether a record that a restored store lacks stays in force until a record replaces it.
+    std::function<bool(const std::string& key)> keeps_after_restore{};
 };
 
 /// Keeps a copy of the newest record of each key of a topic in the store.
@@ -59,7 +62,7 @@
         std::function<void(bool is_available)> on_availability;
     };
 
-    store_topic(event_loop& loop, unary_client& store, event_log& log, topic_options options,
+    store_topic(event_loop& loop, store_client& store, event_log& log, topic_options options,
                 hooks receivers);
     store_topic(const store_topic&) = delete;
     auto operator=(const store_topic&) -> store_topic& = delete;
@@ -69,6 +72,16 @@
     auto start(duration delay = duration::zero()) -> void;
     /// Reads at once, without long polling, and abandons a read in progress.
     auto read_now() -> void;
+    /// The store was restored from a copy: the copy of the topic is loaded anew, and serves as it
+    /// is until then. Records that are missing are kept for `restore_grace`, because their writers
+    /// write them again.
+    auto on_store_era() -> void;
+    /// Whether the copy is of an earlier era of the store.
+    auto awaits_copy() const -> bool { return awaits_copy_; }
+    /// Whether the read that is being reported is the first one in the present era.
+    auto is_first_in_era() const -> bool { return is_first_in_era_; }
+    /// Records that were given up because a restored store lacks them.
+    auto dropped_records() const -> std::uint64_t { return dropped_records_; }
     /// Retries a failed read at once, for example because the store answered another call.
     auto retry() -> void;
     using record_list = std::vector<std::pair<std::string, std::string>>;
@@ -88,8 +101,8 @@
     /// Restarts the fallback delay at `alive_at`, when the instance that sends updates was last
     /// known to be alive.
     auto extend_fallback(time_point alive_at) -> void;
-    /// All records, in the form in which they are sent to another instance.
-    auto snapshot() const -> record_list { return {records_.begin(), records_.end()}; }
+    /// All records that the store has, in the form in which they are sent to another instance.
+    auto snapshot() const -> record_list;
     auto min_read_interval() const -> duration { return options_.min_read_interval; }
     auto set_long_poll_time(duration time) -> void { options_.long_poll_time = time; }
     auto set_min_read_interval(duration interval) -> void { options_.min_read_interval = interval; }
@@ -117,9 +130,13 @@
     auto apply(const std::vector<keyed_record>& records) -> std::vector<change>;
     auto report_available() -> void;
     auto schedule(duration delay) -> void;
+    /// Keeps the records that a restored store lacks in `records`, for a while.
+    auto keep_missing(std::map<std::string, std::string>& records) -> void;
+    /// Gives up the records that are still missing.
+    auto drop_missing() -> void;
 
     event_loop& loop_;
-    unary_client& store_;
+    store_client& store_;
     event_log& log_;
     topic_options options_;
     hooks hooks_;
@@ -144,6 +161,14 @@
     time_point last_read_{};
     duration retry_delay_{0};
     event_loop::timer_id timer_{0};
+    bool awaits_copy_{false};
+    bool is_first_in_era_{false};
+    /// Until then, records that a restored store lacks are kept; zero before the first restore.
+    time_point restore_grace_until_{};
+    /// Keys of records that are kept although the restored store lacks them.
+    std::set<std::string> missing_;
+    std::uint64_t dropped_records_{0};
+    event_loop::timer_id drop_timer_{0};
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
 
--- a/ownership/coordinator_succession.h
+++ b/ownership/coordinator_succession.h
@@ -65,6 +65,8 @@
     auto needs_new_term() const -> bool { return role_.is_held() && era_of(role_.term()) < era_; }
     /// Whether a record of `make_takeover_record` is to be written.
     auto needs_takeover(time_point now) const -> bool;
+    /// Whether the service's record was read in the present era.
+    auto is_record_read() const -> bool { return is_record_read_; }
     /// Records of an earlier era that were ignored, because one of a later era is known.
     auto dropped_records() const -> std::uint64_t { return dropped_records_; }
     /// Processes the newest record of the service. Of several records of the store's present state,
--- a/tests/gateway/store_topic_test.cpp
+++ b/tests/gateway/store_topic_test.cpp
@@ -31,9 +31,10 @@
     }
 
     fake_store store{loop};
-    unary_client client{loop, store.address(), {}};
+    unary_client connections{loop, store.address(), {}};
     manual_clock time;
     event_log events{time, -1, "i1", "z1"};
+    store_client client{loop, connections, events};
     std::string availability_changes;
     std::unique_ptr<store_topic> topic;
 };
