Serve keys at once at the first start on a store with eras

Cause: a store without a record may have lost it, so the first coordinator waited 12 s for leases of unknown ones, also at the first start of a deployment.

Change: a process that the settings call the first start, and that has seen no earlier era, takes a missing record for one that never existed. Terms begin with the era in this case too.

--- a/gateway/gateway_store.cpp
+++ b/gateway/gateway_store.cpp
@@ -105,6 +105,9 @@
             continue;
         }
         it = std::make_unique<service_runtime>(context_, service);
+        if (settings_.is_first_start) {
+            it->set_first_start();
+        }
         if (store_.era() != store_era{}) {
             it->on_store_era(store_.era());
         }
--- a/gateway/service_runtime.h
+++ b/gateway/service_runtime.h
@@ -65,6 +65,8 @@
     /// Handles the newest coordinator record. It was still the newest one at `confirmed_at`.
     auto on_record(const std::optional<coordinator_record>& record, time_point confirmed_at)
         -> void;
+    /// See `coordinator_succession::set_first_start`.
+    auto set_first_start() -> void { succession_.set_first_start(); }
     /// The store was restored from a copy.
     auto on_store_era(store_era era) -> void;
     /// Whether the record of the service was read in the present era of the store.
--- a/ownership/coordinator_succession.cpp
+++ b/ownership/coordinator_succession.cpp
@@ -31,6 +31,7 @@
     if (era <= era_) {
         return;
     }
+    is_first_start_ = is_first_start_ && era_ == store_era{};
     era_ = era;
     era_seen_at_ = now;
     is_record_read_ = false;
@@ -66,7 +67,7 @@
     next.coordinator = self_;
     next.boot = boot_;
     next.address = address_;
-    next.term = lease_term{record_ ? record_->term.value() + 1 : 1};
+    next.term = lease_term{std::max(record_ ? record_->term.value() : 0, first_number(era_)) + 1};
     next.era = era_;
     auto first = std::max(record_ ? record_->token_limit.value() : 1, first_number(era_) + 1);
     next.token_limit = fencing_token{first + tokens_per_term};
@@ -106,7 +107,7 @@
                                         time_point confirmed_at, time_point now) -> void
 {
     is_predecessor_stopped_ = !predecessor_;
-    bool has_predecessors = predecessor_ || mine.era != store_era{};
+    bool has_predecessors = predecessor_ || (mine.era != store_era{} && !is_first_start_);
     // No earlier coordinator gets its role confirmed after the record of this term. After a
     // restore, the number of this term does not follow that of the predecessor, so the end of the
     // predecessor's term does not shorten the time.
--- a/ownership/coordinator_succession.h
+++ b/ownership/coordinator_succession.h
@@ -54,6 +54,10 @@
     {
         role_.set_assigned(is_mine, sent_at);
     }
+    /// The deployment starts for the first time, so a store without a record has never had one,
+    /// unless this process has seen an earlier era. Otherwise the record may be lost, and all
+    /// leases of unknown coordinators have to expire first.
+    auto set_first_start() -> void { is_first_start_ = true; }
     /// Processes the first knowledge of a new era of the store: it was restored from a copy, so
     /// records that this instance has read or written may be lost. A coordinator keeps its role but
     /// moves no keys until a record of it is stored in this era. `authority` is null when the role
@@ -119,7 +123,7 @@
     /// Whether the record that is known is not one of the present era.
     auto is_record_of_earlier_era() const -> bool
     {
-        return era_ != store_era{} && (!record_ || record_->era < era_);
+        return era_ != store_era{} && (record_ ? record_->era < era_ : !is_first_start_);
     }
     /// Takes into account that the term right before the own one ended at `last`, and all terms
     /// before that one at `before`.
@@ -134,6 +138,7 @@
     /// Highest known era of the store, and when it became known.
     store_era era_;
     time_point era_seen_at_{};
+    bool is_first_start_{false};
     /// The service's record was read in the present era.
     bool is_record_read_{true};
     /// The role was confirmed so shortly before the present era that no later coordinator can have
--- a/tests/ownership/store_restore_test.cpp
+++ b/tests/ownership/store_restore_test.cpp
@@ -198,6 +198,33 @@
     BOOST_TEST(!second.succession.role().is_held());
 }
 
+// Guards against two holders when the copy is older than the first record, and against keys without
+// an owner for 12 s after each first start of a deployment.
+BOOST_AUTO_TEST_CASE(may_lack_a_record_that_existed)
+{
+    auto started_later = make_reader("i1");
+    take_over(started_later);
+    BOOST_TEST(!newest->names_all_holders);
+    BOOST_TEST(!started_later.ranges->is_sole(time.now()));
+
+    newest.reset();
+    auto at_first = make_instance("i2");
+    at_first.succession.set_first_start();
+    see_era(at_first);
+    take_over(at_first);
+    BOOST_TEST(newest->names_all_holders);
+    BOOST_TEST(at_first.ranges->is_sole(time.now()));
+    BOOST_TEST(!at_first.succession.needs_new_term());
+
+    restore(std::nullopt);
+    auto seen_before = make_instance("i3");
+    seen_before.succession.set_first_start();
+    seen_before.succession.on_store_era(store_era{1}, nullptr, time.now());
+    see_era(seen_before);
+    take_over(seen_before);
+    BOOST_TEST(!newest->names_all_holders);
+}
+
 // Guards against a record that is written on the condition of an offset of an earlier era.
 BOOST_AUTO_TEST_CASE(is_read_before_a_coordinator_writes_again)
 {
--- a/tests/ownership/succession_model.cpp
+++ b/tests/ownership/succession_model.cpp
@@ -59,6 +59,7 @@
             options_.max_drift_per_mille;
         it.time = std::make_unique<drifting_clock>(time_, drift);
         start_process(it);
+        it.succession->set_first_start();
     }
 }
 
