Test gateways whose store is restored from a copy

Cause: the fake store kept everything, so no test saw a new era.

Change: `fake_store` names an era on demand, goes back to a copy, resets long polls and answers 410 for offsets that it does not have.

--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,10 +39,26 @@
         topics_[topic].first_retained = topics_[topic].records.size();
     }
 
+    /// Keeps a copy of all topics, from which `restore` takes the store back.
+    auto take_copy() -> void { copy_ = topics_; }
+    /// Takes the store back to its copy, in the next era. Reads that are held open are reset.
+    auto restore() -> void
+    {
+        topics_ = copy_;
+        era = era.value_or(0) + 1;
+        auto pending = std::move(pending_reads_);
+        pending_reads_.clear();
+        for (auto& it : pending) {
+            it.request.reset();
+        }
+    }
+
     /// Ends the membership of the member that holds the partitions, as after its time to live. The
     /// next member that joins gets all of them.
     auto expire_membership() -> void { holder_.clear(); }
 
+    /// Era that all responses name; none sends no header.
+    std::optional<std::uint64_t> era;
     bool is_down{false};
     /// Appends take effect, but the connection is reset instead of a response.
     bool loses_append_responses{false};
@@ -61,6 +78,13 @@
         std::uint64_t number{0};
     };
 
+    auto response(int status, const std::string& headers, const std::string& body) const
+        -> std::string
+    {
+        auto named = era ? "Store-Era: " + std::to_string(*era) + "\r\n" : std::string{};
+        return fake_http_server::response(status, named + headers, body);
+    }
+
     static auto query_parameter(const std::string& target, const std::string& name) -> std::string
     {
         auto at = target.find(name + "=");
@@ -84,7 +108,7 @@
     {
         ++calls;
         if (is_down) {
-            request.send(fake_http_server::response(503, "", ""));
+            request.send(response(503, "", ""));
             return;
         }
         const auto target = request.head.target;
@@ -100,7 +124,7 @@
         } else if (target.starts_with("/-/log-leave")) {
             leave(request);
         } else {
-            request.send(fake_http_server::response(200, "", "{}"));
+            request.send(response(200, "", "{}"));
         }
     }
 
@@ -109,8 +133,9 @@
         auto topic = query_parameter(request.head.target, "Topic");
         auto from = std::stoul(query_parameter(request.head.target, "FromRev"));
         auto& state = topics_[topic];
-        if (from < state.first_retained) {
-            request.send(fake_http_server::response(
+        bool is_lost = era && from > state.records.size();
+        if (from < state.first_retained || is_lost) {
+            request.send(response(
                 410, "", R"({"FirstOffset":)" + std::to_string(state.first_retained) + "}"));
             return;
         }
@@ -136,7 +161,7 @@
             body.push_back(static_cast<char>(key.size()));
             body += key + value;
         }
-        request.send(fake_http_server::response(200, "", body));
+        request.send(response(200, "", body));
     }
 
     auto end_long_poll(std::uint64_t number) -> void
@@ -180,7 +205,7 @@
         }
         nlohmann::json body{
             {"items", items}, {"HasMore", false}, {"EndOffset", state.records.size()}};
-        request.send(fake_http_server::response(200, "", body.dump()));
+        request.send(response(200, "", body.dump()));
     }
 
     auto append(const received_request& request) -> void
@@ -192,7 +217,7 @@
             return R"("EndOffset":)" + std::to_string(state.records.size()) + "}";
         };
         if (!expected_end.empty() && std::stoul(expected_end) != state.records.size()) {
-            request.send(fake_http_server::response(412, "", "{" + end_field()));
+            request.send(response(412, "", "{" + end_field()));
             return;
         }
         auto key_bytes = static_cast<unsigned char>(request.body.at(4));
@@ -201,7 +226,7 @@
         if (loses_append_responses) {
             request.reset();
         } else {
-            request.send(fake_http_server::response(200, "", R"({"Offset":0,)" + end_field()));
+            request.send(response(200, "", R"({"Offset":0,)" + end_field()));
         }
         finish_pending_reads();
     }
@@ -212,7 +237,7 @@
         if (holder_ == body.at("Member").get<std::string>()) {
             holder_.clear();
         }
-        request.send(fake_http_server::response(200, "", "{}"));
+        request.send(response(200, "", "{}"));
     }
 
     auto join(const received_request& request) -> void
@@ -228,13 +253,14 @@
             parts.push_back({body.at("Topics").at(0), n, 0});
         }
         nlohmann::json out{{"Generation", 1}, {"parts", parts}};
-        request.send(fake_http_server::response(200, "", out.dump()));
+        request.send(response(200, "", out.dump()));
     }
 
     event_loop& loop_;
     fake_http_server server_;
     std::uint64_t last_read_number_{0};
     std::map<std::string, topic_state> topics_;
+    std::map<std::string, topic_state> copy_;
     std::vector<pending_read> pending_reads_;
     std::string holder_;
 };
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -173,6 +173,22 @@
                 error_code::unavailable));
 }
 
+// Guards against an era that is read from half a number or that does not fit into a token.
+BOOST_AUTO_TEST_CASE(names_the_era_of_the_store)
+{
+    auto era = [](const std::string& text) {
+        auto response = make_response(200, "");
+        response.head.headers.push_back({"store-era", text});
+        return store_codec::decode_era(response);
+    };
+    BOOST_TEST(!store_codec::decode_era(make_response(200, "")).value().has_value());
+    BOOST_TEST((era("12").value() == store_era{12}));
+    for (const auto* malformed :
+         {"", "x", "1x", "-1", "1.5", " 1", "18446744073709551616", "8388608"}) {
+        BOOST_TEST(era(malformed).has_error());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(returns_a_handover_token_on_release)
 {
     auto released = make_response(200, "");
