Test the era in messages and in conditional writes

Cause: no case showed that a write on an offset of an earlier era is not taken for stored, nor that messages stay the same without eras.

Change: a case in which the restored store accepts such a write, because its offset was assigned again: the writer reads the new copy and writes anew. A case for the era field of updates and keepalives.

--- a/tests/gateway/peer_message_test.cpp
+++ b/tests/gateway/peer_message_test.cpp
@@ -102,6 +102,28 @@
     BOOST_TEST(bytes.empty());
 }
 
+// Guards against messages that differ where the store has no eras, and against an era that is lost.
+BOOST_AUTO_TEST_CASE(name_the_era_of_the_store_only_if_there_is_one)
+{
+    topic_update update;
+    update.end = log_offset{5};
+    std::string without;
+    encode_peer_message(without, update);
+    encode_peer_message(without, subscription_keepalive{});
+    update.era = store_era{3};
+    std::string with;
+    encode_peer_message(with, update);
+    encode_peer_message(with, subscription_keepalive{store_era{4}});
+    // Each era below 128 is one more byte.
+    BOOST_TEST(with.size() == without.size() + 2);
+    auto earlier = decode_peer_messages(without).value();
+    BOOST_TEST((std::get<topic_update>(earlier.at(0)).era == store_era{}));
+    BOOST_TEST((std::get<subscription_keepalive>(earlier.at(1)).era == store_era{}));
+    auto all = decode_peer_messages(with).value();
+    BOOST_TEST((std::get<topic_update>(all.at(0)).era == store_era{3}));
+    BOOST_TEST((std::get<subscription_keepalive>(all.at(1)).era == store_era{4}));
+}
+
 // Guards against a response without a limit that is taken for one that says nothing about it.
 BOOST_AUTO_TEST_CASE(distinguish_a_response_without_a_limit_from_no_response)
 {
--- a/tests/gateway/store_restore_test.cpp
+++ b/tests/gateway/store_restore_test.cpp
@@ -62,6 +62,45 @@
     run_until([&] { return !topic->records().contains("kept"); });
 }
 
+// Guards against a write that the restored store accepts because the offset of its condition has
+// been assigned again, and that its writer takes for the newest record.
+BOOST_AUTO_TEST_CASE(takes_no_write_on_a_condition_of_an_earlier_era)
+{
+    store.put("keyed.test", "a", "1");
+    store.take_copy();
+    store.put("keyed.test", "lost", "1");
+    conditional_topic_writer writer{loop, client, events, "keyed.test"};
+    writer.set_copy(*topic);
+    client.set_on_new_era([&](store_era) {
+        ++restores;
+        writer.on_store_era();
+        topic->on_store_era();
+    });
+    topic->start();
+    run_until([&] { return topic->end() == log_offset{2}; });
+    writer.on_copy_updated();
+
+    store.restore();
+    store.put("keyed.test", "new", "1");
+    std::vector<bool> knew_new;
+    int stored = 0;
+    writer.write(
+        "w",
+        [&]() -> std::optional<std::string> {
+            knew_new.push_back(topic->records().contains("new"));
+            return "1";
+        },
+        [&](time_point) { ++stored; });
+    run_until([&] { return restores == 2; });
+    BOOST_TEST(stored == 0);
+    run_until([&] { return !topic->awaits_copy(); });
+    writer.on_copy_updated();
+    run_until([&] { return stored == 1; });
+    BOOST_REQUIRE(knew_new.size() == 2U);
+    BOOST_TEST(!knew_new[0]);
+    BOOST_TEST(knew_new[1]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 /// Three gateways with one store.
