Write a record again that a late record of an earlier era hides

Cause: a process that starts after a late append of an earlier era reads only that one, and would use the tokens of the hidden record.

Change: a coordinator of a keyed service that reads such a record writes its own again at once, also unchanged.

--- a/ownership/coordinator_succession.cpp
+++ b/ownership/coordinator_succession.cpp
@@ -16,6 +16,7 @@
     bool is_late = is_record_read_ && record && record_ && record->era < record_->era;
     if (is_late) {
         ++dropped_records_;
+        is_record_hidden_ = role_.is_held();
         return role_change::none;
     }
     record_ = record;
@@ -209,6 +210,10 @@
 
 auto coordinator_succession::needs_range_record(range_authority& authority, time_point now) -> bool
 {
+    if (std::exchange(is_record_hidden_, false)) {
+        writes_record_again_ = true;
+        return true;
+    }
     if (!record_ || needs_new_term() || (now < next_record_time_ && !authority.needs_record())) {
         return false;
     }
@@ -237,7 +242,8 @@
     if (last_written_record_ && record_->revision == last_written_record_->revision) {
         // The previous append got no response but took effect.
         authority.on_recorded(last_written_ranges_revision_, now);
-        if (authority.revision() == last_written_ranges_revision_) {
+        bool is_unchanged = authority.revision() == last_written_ranges_revision_;
+        if (is_unchanged && !writes_record_again_) {
             return std::nullopt;
         }
     }
@@ -246,6 +252,7 @@
     next.names_all_holders = authority.knows_all_holders();
     last_written_ranges_revision_ = authority.revision();
     next.has_no_live_predecessor = authority.is_sole(now);
+    writes_record_again_ = false;
     next.revision = ++write_revision_;
     last_written_record_ = next;
     return next;
--- a/ownership/coordinator_succession.h
+++ b/ownership/coordinator_succession.h
@@ -147,6 +147,10 @@
     /// Term whose record names the ranges that this instance was certain of; 0 when there is none.
     lease_term certain_term_;
     std::uint64_t dropped_records_{0};
+    /// A late record of an earlier era follows that of this coordinator, which processes that start
+    /// later would not find. The record is due again, and is written even if it did not change.
+    bool is_record_hidden_{false};
+    bool writes_record_again_{false};
     bool is_predecessor_stopped_{true};
     /// End of all terms before the own one; none before the first term of this instance.
     std::optional<earlier_terms_end> earlier_terms_end_;
--- a/tests/ownership/store_restore_test.cpp
+++ b/tests/ownership/store_restore_test.cpp
@@ -192,6 +192,9 @@
     BOOST_TEST(first.succession.role().is_held());
     BOOST_TEST(first.succession.dropped_records() == 1U);
     BOOST_TEST((first.succession.record() == newest));
+    // A process that starts now would not find the record that the late one hides.
+    BOOST_TEST(first.succession.needs_range_record(*first.ranges, time.now()));
+    BOOST_TEST(first.succession.make_range_record(*first.ranges, time.now()).has_value());
     // Its writer does not take the response of the new era for the start of its term.
     see_store(second);
     BOOST_TEST(!second.succession.on_takeover_stored());
