--- a/tests/ownership/succession_model.h
+++ b/tests/ownership/succession_model.h
@@ -4,6 +4,8 @@
 #include "core/random.h"
 #include "ownership/coordinator_succession.h"
 #include "ownership/range_authority.h"
+#include "ownership/store_era_tracker.h"
+#include "tests/ownership/restorable_store.h"
 
 #include <array>
 #include <deque>
@@ -23,6 +25,9 @@
     bool restarts_servers{true};
     /// Instances that take over in turn although their predecessors still reach the servers.
     bool changes_coordinators{true};
+    /// Whether the store is restored from copies that are up to 10 s old, while appends are late or
+    /// arrive twice.
+    bool restores_store{false};
     /// Difference in rate between a clock and true time, in parts per thousand.
     int max_drift_per_mille{0};
     /// Receives a line for each event; not called when empty.
@@ -37,6 +42,7 @@
     std::uint64_t terms{0};
     std::uint64_t moves{0};
     std::uint64_t restarts{0};
+    std::uint64_t restores{0};
 };
 
 /// Random runs of several instances that take over the coordinator role of one keyed service, on
@@ -78,8 +84,14 @@
     auto tick(instance& it) -> void;
     auto join(instance& it) -> void;
     auto read_store(instance& it) -> void;
-    auto on_read(instance& it, std::size_t end, const std::optional<coordinator_record>& newest,
+    auto on_read(instance& it, std::size_t end, const std::vector<coordinator_record>& records,
                  time_point sent_at) -> void;
+    /// Era that the store's responses name; 0 when the run has no restores.
+    auto named_era() const -> store_era;
+    /// Classifies a response of the store and starts anew when it is of a new era.
+    auto classify(instance& it, store_era era) -> era_class;
+    auto on_peer_era(instance& it, store_era era) -> void;
+    auto on_new_era(instance& it) -> void;
     auto start_append(instance& it) -> void;
     auto on_append_failed(instance& it, append_kind kind) -> void;
     auto become_coordinator(instance& it, const coordinator_record& mine, time_point confirmed_at)
@@ -99,6 +111,13 @@
     auto restart_server(lease_server& server) -> void;
 
     auto inject_fault() -> void;
+    auto start_restores() -> void;
+    auto restore_store(duration age) -> void;
+    /// Cuts the coordinator off until another one has moved keys, and then restores a copy that is
+    /// older than the term of the other one.
+    auto restore_at_replaced_coordinator() -> void;
+    /// Delivers an append to the store a second time, in some cases.
+    auto repeat_append(const coordinator_record& record, std::size_t expected_end) -> void;
     auto check(const std::string& event) -> void;
     auto report(const std::string& text) -> void;
     auto trace(const std::string& text) const -> void;
@@ -113,7 +132,7 @@
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<std::unique_ptr<instance>> instances_;
     std::vector<std::unique_ptr<lease_server>> servers_;
-    std::vector<coordinator_record> store_;
+    restorable_store store_;
     time_point store_down_until_{};
     /// Index of the instance to which the store assigns the role.
     std::size_t assigned_{0};
