--- a/tests/adapters/raw_connection.h
+++ b/tests/adapters/raw_connection.h
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -16,8 +17,12 @@
 /// A TCP connection on which a test sends arbitrary bytes.
 class raw_connection {
 public:
+    /// Whether a connection that cannot be opened ends the test.
+    enum failure_rule : std::uint8_t { must_connect, may_fail };
+
     /// A `receive_buffer` over zero fixes the size of the kernel's receive buffer, in bytes.
-    explicit raw_connection(const endpoint& peer, int receive_buffer = 0)
+    explicit raw_connection(const endpoint& peer, int receive_buffer = 0,
+                            failure_rule rule = must_connect)
         : fd_{socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}
     {
         if (receive_buffer > 0) {
@@ -25,7 +30,8 @@
                                      sizeof(receive_buffer)) == 0);
         }
         auto address = to_socket_address(peer).value();
-        BOOST_REQUIRE(connect(fd_, address.get(), address.size) == 0);
+        bool is_connected = connect(fd_, address.get(), address.size) == 0;
+        BOOST_REQUIRE((is_connected || rule == may_fail));
     }
     explicit raw_connection(int fd) : fd_{fd} {}
     raw_connection(const raw_connection&) = delete;
@@ -37,6 +43,13 @@
         (void)!::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
 
+    /// Sends as many bytes as the kernel takes without waiting and returns their number.
+    auto try_send(std::string_view bytes) -> std::size_t
+    {
+        auto n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        return n > 0 ? static_cast<std::size_t>(n) : 0;
+    }
+
     /// Appends the bytes that have arrived to `received`. Returns false when the peer has closed or
     /// reset the connection.
     auto receive() -> bool
