Let a connection limit its receive window

Cause: bytes that the kernel has received count as memory of the process, and the system's default window grows to several megabytes for each connection. One read may return as much.

Change: stream_options::receive_window and a parameter of listener::open set TCP_WINDOW_CLAMP. tcp_stream::set_on_drained sets the handler after the start. Nothing uses them yet.

--- a/adapters/h2o/listener.cpp
+++ b/adapters/h2o/listener.cpp
@@ -4,6 +4,10 @@
 
 #include <h2o.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <utility>
 
 namespace cornelswitch {
@@ -16,10 +20,15 @@
 
 } // namespace
 
-auto listener::open(event_loop& loop, const endpoint& address, accept_handler handler)
-    -> result<std::unique_ptr<listener>>
+auto listener::open(event_loop& loop, const endpoint& address, accept_handler handler,
+                    int receive_window) -> result<std::unique_ptr<listener>>
 {
     BOOST_OUTCOME_TRY(fd, open_listener(address));
+    if (receive_window > 0) {
+        // Accepted connections inherit it. An error is ignored: connections work without it.
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, &receive_window,
+                         sizeof(receive_window));
+    }
     endpoint bound{address.address, bound_port(fd)};
     return std::unique_ptr<listener>{new listener{loop, std::move(bound), fd, std::move(handler)}};
 }
--- a/adapters/h2o/listener.h
+++ b/adapters/h2o/listener.h
@@ -16,9 +16,10 @@
 public:
     using accept_handler = std::function<void(st_h2o_socket_t*)>;
 
+    /// A `receive_window` over zero limits the bytes that a peer may send before they are read.
     /// Errors: `invalid_argument`, `unavailable` when the address cannot be bound.
-    static auto open(event_loop& loop, const endpoint& address, accept_handler handler)
-        -> result<std::unique_ptr<listener>>;
+    static auto open(event_loop& loop, const endpoint& address, accept_handler handler,
+                     int receive_window = 0) -> result<std::unique_ptr<listener>>;
 
     listener(const listener&) = delete;
     auto operator=(const listener&) -> listener& = delete;
--- a/adapters/h2o/tcp_stream.cpp
+++ b/adapters/h2o/tcp_stream.cpp
@@ -32,6 +32,9 @@
         set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
                    static_cast<int>(options.unacknowledged_timeout.count()));
     }
+    if (options.receive_window > 0) {
+        set_option(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, options.receive_window);
+    }
     if (options.keepalive_idle.count() > 0) {
         set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
         set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(options.keepalive_idle.count()));
@@ -187,6 +190,11 @@
     set_reading(true);
 }
 
+auto tcp_stream::set_on_drained(std::function<void()> handler) -> void
+{
+    state_->receivers.on_drained = std::move(handler);
+}
+
 auto tcp_stream::write(std::string bytes) -> void
 {
     if (state_->socket == nullptr || bytes.empty()) {
--- a/adapters/h2o/tcp_stream.h
+++ b/adapters/h2o/tcp_stream.h
@@ -29,6 +29,9 @@
     std::chrono::milliseconds unacknowledged_timeout{0};
     /// Idle time before keep-alive probes start; zero sends none.
     std::chrono::seconds keepalive_idle{0};
+    /// Most bytes that the peer may send before they are read (TCP_WINDOW_CLAMP); zero leaves the
+    /// default of the system, which grows to several megabytes.
+    int receive_window{0};
 };
 
 /// One TCP connection with a buffered writer. Used only on the event loop's thread.
@@ -57,6 +60,7 @@
 
     /// Sets the handlers and starts to read.
     auto start(handlers receivers) -> void;
+    auto set_on_drained(std::function<void()> handler) -> void;
     auto write(std::string bytes) -> void;
     /// Stops or resumes reading. While it is stopped, TCP flow control slows the peer down.
     auto set_reading(bool enabled) -> void;
