Bound the memory that callers and servers can make an instance hold

Cause: each request kept its body in a string that doubled as it grew, and each attempt copied the whole body; bodies without an end were kept for ever; nothing summed bodies, responses and heads over the connections, and nothing bounded the connections. A crowd of callers ended the process.

Change: - request_body stores a body once in blocks of 64 KiB, which the attempts share. A body over 16 KiB is sent block by block as the server takes it; a smaller one still goes with the head in one write. A connection whose server responded before it had the whole body is not reused. - The account covers 66% of Limits.MemoryMb; an eighth of it is for bodies up to 64 KiB, heads and ordinary requests only. A declared length is reserved with the head, so that a body without room is refused at once, with 503, Retry-After and the end of the connection. - For a body or head without room, the one that is longest without progress (16 KiB) for Bounds.BodyStall (1 s) is dropped first. - A body without a byte for Bounds.BodyTimeout (30 s) gets 408, and one that is incomplete at its request's deadline 503: it could not be served any more. Input is parsed in place. - A connection to a server is read again when it becomes idle, also if the last part of a response had paused it. - Metrics by kind and cause, and the log lines memory-exhausted and memory-free.

--- a/adapters/http1/message_parser.cpp
+++ b/adapters/http1/message_parser.cpp
@@ -238,6 +238,11 @@
     return state_->in_message;
 }
 
+auto http1_parser::head_memory() const -> std::size_t
+{
+    return state_->header_bytes + state_->head.headers.capacity() * sizeof(header_list::value_type);
+}
+
 auto http1_parser::set_skips_body(bool skips) -> void
 {
     state_->skips_body = skips;
--- a/adapters/http1/message_parser.h
+++ b/adapters/http1/message_parser.h
@@ -53,6 +53,8 @@
     auto finish() -> bool;
     /// Whether a message has been parsed in part.
     auto is_inside_message() const -> bool;
+    /// Memory of the part of a head that has been parsed, in bytes.
+    auto head_memory() const -> std::size_t;
     /// While `skips` is set, responses have no body whatever their headers say, as after HEAD.
     auto set_skips_body(bool skips) -> void;
     /// Discards an incomplete message.
--- a/gateway/caller_connection.cpp
+++ b/gateway/caller_connection.cpp
@@ -8,6 +8,13 @@
 
 /// Number of received but unparsed bytes above which reading from the caller pauses.
 constexpr std::size_t max_buffered_input = 64 * 1024;
+/// Growth of a body that counts as progress. A body that grows by less within the stall time may be
+/// dropped when memory is short.
+constexpr std::size_t body_progress_step = std::size_t{16} * 1024;
+/// Memory for a body without a declared length is reserved in steps of this size.
+constexpr std::size_t body_reservation_step = std::size_t{16} * 1024;
+/// A head whose fields take more memory than this is counted. An ordinary head takes less.
+constexpr std::size_t min_counted_head = std::size_t{8} * 1024;
 /// Time in which a caller that received the last response is expected to close the connection.
 constexpr duration linger_timeout = std::chrono::seconds{1};
 /// Time after its opening during which a connection without a request is not closed as idle.
@@ -19,22 +26,13 @@
                                      std::unique_ptr<tcp_stream> stream, caller_limits limits,
                                      std::function<void(caller_connection*)> on_closed)
     : services_{services}, stream_{std::move(stream)}, limits_{limits},
-      on_closed_{std::move(on_closed)}, opened_at_{services.loop.now()}, last_activity_{opened_at_}
+      on_closed_{std::move(on_closed)}, input_memory_{services.memory, memory_kind::unparsed_input},
+      output_memory_{services.memory, memory_kind::response}, opened_at_{services.loop.now()},
+      last_activity_{opened_at_}
 {
     http1_parser::handlers handlers;
     handlers.on_head = [this](http1_head head) { on_head(std::move(head)); };
-    handlers.on_body = [this](std::string_view bytes) {
-        if (!receiving_ || is_rejected_) {
-            return;
-        }
-        if (receiving_->body_size() + bytes.size() > limits_.max_body_bytes) {
-            is_rejected_ = true;
-            is_reading_done_ = true;
-            receiving_->reject(413, "body-too-large");
-            return;
-        }
-        receiving_->append_body(bytes);
-    };
+    handlers.on_body = [this](std::string_view bytes) { on_body(bytes); };
     handlers.on_end = [this] { on_request_end(); };
     parser_ = std::make_unique<http1_parser>(http1_kind::request, limits_.max_header_bytes,
                                              std::move(handlers));
@@ -56,7 +54,11 @@
     };
     stream_handlers.on_drained = [weak] {
         auto self = weak.lock();
-        if (self && self->is_server_paused_ && !self->exchanges_.empty()) {
+        if (!self) {
+            return;
+        }
+        self->update_output_memory();
+        if (self->is_server_paused_ && !self->exchanges_.empty()) {
             self->is_server_paused_ = false;
             self->exchanges_.front().exchange->set_writable(true);
         }
@@ -75,12 +77,131 @@
         // Bytes after the last request of the connection are ignored.
         return;
     }
-    input_.append(bytes);
-    parse();
-    if (input_.size() > max_buffered_input && !is_closed_) {
+    auto self = shared_from_this();
+    if (input_.empty() && !is_parsing_) {
+        // Parsed in place, so that a large body is not copied once more.
+        bytes.remove_prefix(parse_bytes(bytes));
+        if (!is_reading_done_) {
+            input_.append(bytes);
+        }
+        send_ready_responses();
+    } else {
+        input_.append(bytes);
+        parse();
+    }
+    if (is_closed_) {
+        return;
+    }
+    if (input_.size() > max_buffered_input) {
         is_input_paused_ = true;
         stream_->set_reading(false);
     }
+    reserve_head();
+}
+
+auto caller_connection::reserve_head() -> void
+{
+    auto bytes = input_.capacity() + (receiving_ ? 0 : parser_->head_memory());
+    if (bytes < min_counted_head) {
+        input_memory_.resize(0);
+        return;
+    }
+    while (!is_closed_ && !input_memory_.try_resize(bytes, memory_use::small)) {
+        if (!services_.free_memory()) {
+            services_.metrics.count("memory_refusals_head_total");
+            close();
+        }
+    }
+}
+
+auto caller_connection::on_body(std::string_view bytes) -> void
+{
+    if (!receiving_ || is_rejected_) {
+        return;
+    }
+    auto size = receiving_->body_size() + bytes.size();
+    if (size > limits_.max_body_bytes) {
+        is_rejected_ = true;
+        is_reading_done_ = true;
+        receiving_->reject(413, "body-too-large");
+        return;
+    }
+    if (size > receiving_->reserved_body_bytes() &&
+        !reserve_body((size + body_reservation_step - 1) / body_reservation_step *
+                      body_reservation_step)) {
+        return;
+    }
+    receiving_->append_body(bytes);
+    if (size >= body_progress_size_ + body_progress_step) {
+        body_progress_size_ = size;
+        body_progress_at_ = last_activity_;
+    }
+}
+
+auto caller_connection::reserve_body(std::uint64_t bytes) -> bool
+{
+    while (!receiving_->try_reserve_body(bytes)) {
+        bool may_fit = bytes <= services_.memory.limit(request_body::use(bytes));
+        if (!may_fit || !services_.free_memory()) {
+            services_.metrics.count(request_body::use(bytes) == memory_use::small
+                                        ? "memory_refusals_small_body_total"
+                                        : "memory_refusals_large_body_total");
+            drop_body("no-memory");
+            return false;
+        }
+        if (!receiving_ || is_rejected_) {
+            // This body itself was the one longest without progress.
+            return false;
+        }
+    }
+    return true;
+}
+
+auto caller_connection::drop_body(std::string_view reason) -> void
+{
+    if (!receiving_ || is_rejected_) {
+        return;
+    }
+    auto self = shared_from_this();
+    is_rejected_ = true;
+    is_reading_done_ = true;
+    auto exchange = receiving_;
+    exchange->refuse_body(reason);
+}
+
+auto caller_connection::pause_waiting_responses() -> void
+{
+    for (auto& entry : exchanges_) {
+        entry.exchange->pause_waiting_response();
+    }
+}
+
+auto caller_connection::eviction_state() const -> eviction_candidate
+{
+    if (receiving_ && !is_rejected_) {
+        return {connection_state::receiving_body, body_progress_at_,
+                receiving_->reserved_body_bytes()};
+    }
+    if (stream_->unsent_bytes() > 0) {
+        return {connection_state::sending, last_drained_, output_memory_.bytes()};
+    }
+    if (!exchanges_.empty()) {
+        return {};
+    }
+    if (request_started_ != time_point{}) {
+        return {connection_state::receiving_head, request_started_, input_memory_.bytes()};
+    }
+    return {connection_state::idle, last_activity_, 0};
+}
+
+auto caller_connection::update_output_memory() -> void
+{
+    auto unsent = stream_->unsent_bytes();
+    if (unsent > 0 && !has_unsent_bytes_) {
+        last_drained_ = services_.loop.now();
+    }
+    has_unsent_bytes_ = unsent > 0;
+    output_memory_.resize(unsent + queued_output_bytes_);
 }
 
 auto caller_connection::parse() -> void
@@ -89,11 +210,23 @@
         return;
     }
     auto self = shared_from_this();
+    input_.erase(0, parse_bytes(input_));
+    if (is_reading_done_) {
+        input_.clear();
+    }
+    if (input_.empty()) {
+        input_.shrink_to_fit();
+    }
+    send_ready_responses();
+}
+
+auto caller_connection::parse_bytes(std::string_view bytes) -> std::size_t
+{
     is_parsing_ = true;
     std::size_t used = 0;
-    while (used < input_.size() && exchanges_.size() < max_exchanges && !is_reading_done_ &&
+    while (used < bytes.size() && exchanges_.size() < max_exchanges && !is_reading_done_ &&
            !is_closed_) {
-        auto n = parser_->feed(std::string_view{input_}.substr(used));
+        auto n = parser_->feed(bytes.substr(used));
         if (n.has_error()) {
             if (!is_closed_ && !is_reading_done_) {
                 bool is_too_large = n.error().code == error_code::too_large;
@@ -106,12 +239,8 @@
             break;
         }
     }
-    input_.erase(0, used);
-    if (input_.empty()) {
-        input_.shrink_to_fit();
-    }
     is_parsing_ = false;
-    send_ready_responses();
+    return used;
 }
 
 auto caller_connection::make_output(std::weak_ptr<caller_connection> weak)
@@ -154,6 +283,8 @@
     bool is_too_large =
         head.framing == body_framing::length && head.length > limits_.max_body_bytes;
     bool keeps_connection = head.keeps_alive;
+    auto declared_bytes = head.framing == body_framing::length ? head.length : 0;
+    auto head_bytes = head.headers.capacity() * sizeof(header_list::value_type);
     auto exchange = std::make_shared<caller_exchange>(services_, std::move(head),
                                                       make_output(weak_from_this()));
     *last_exchange_slot_ = exchange.get();
@@ -169,6 +300,20 @@
         exchange->reject(413, "body-too-large");
         return;
     }
+    body_progress_at_ = request_started_;
+    body_progress_size_ = 0;
+    if (head_bytes >= min_counted_head) {
+        memory_reservation head_memory{services_.memory, memory_kind::unparsed_input};
+        if (!head_memory.try_resize(head_bytes, memory_use::small)) {
+            services_.metrics.count("memory_refusals_head_total");
+            drop_body("no-memory");
+            return;
+        }
+        exchange->hold_head(std::move(head_memory));
+    }
+    if (declared_bytes > 0 && !reserve_body(declared_bytes)) {
+        return;
+    }
     if (expects_continue && has_body && exchanges_.size() == 1) {
         stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
@@ -228,10 +373,16 @@
     }
     if (entry != &exchanges_.front()) {
         entry->output.append(bytes);
+        queued_output_bytes_ += bytes.size();
+        update_output_memory();
         return;
     }
     stream_->write(std::move(bytes));
-    if (stream_->unsent_bytes() > max_unsent_bytes && !is_server_paused_) {
+    update_output_memory();
+    // A response whose head arrives while the connection is paused is not paused itself, so that a
+    // short one ends before its deadline; while memory is short it is.
+    if (stream_->unsent_bytes() > unsent_limit() &&
+        (!is_server_paused_ || services_.memory.pressure() != memory_pressure::none)) {
         is_server_paused_ = true;
         entry->exchange->set_writable(false);
     }
@@ -259,11 +410,13 @@
     while (!exchanges_.empty() && !is_closed_) {
         auto& front = exchanges_.front();
         if (!front.output.empty()) {
+            queued_output_bytes_ -= front.output.size();
             stream_->write(std::exchange(front.output, {}));
+            update_output_memory();
         }
         if (!front.is_finished) {
             front.exchange->on_next();
-            is_server_paused_ = stream_->unsent_bytes() > max_unsent_bytes;
+            is_server_paused_ = stream_->unsent_bytes() > unsent_limit();
             front.exchange->set_writable(!is_server_paused_);
             break;
         }
@@ -301,6 +454,9 @@
         entry.exchange->cancel();
     }
     receiving_.reset();
+    queued_output_bytes_ = 0;
+    input_memory_.resize(0);
+    update_output_memory();
     stream_->shut_down_sending();
     stream_->set_reading(true);
 }
@@ -321,6 +477,12 @@
         entry.exchange->cancel();
     }
     receiving_.reset();
+    if (!is_parsing_) {
+        // Frees an incomplete head at once; this object itself is destroyed later.
+        parser_->reset();
+    }
+    input_memory_.resize(0);
+    output_memory_.resize(0);
     stream_->close();
     if (on_closed_) {
         on_closed_(this);
@@ -360,6 +522,18 @@
     if (is_closed_) {
         return;
     }
+    if (receiving_ && !is_rejected_) {
+        if (receiving_->is_past_deadline(now)) {
+            // The request can no longer be served in time.
+            drop_body("timeout");
+        } else if (now - last_activity_ > services_.body_limits.timeout) {
+            services_.metrics.count("body_timeouts_total");
+            is_rejected_ = true;
+            is_reading_done_ = true;
+            auto exchange = receiving_;
+            exchange->reject(408, "body-timeout");
+        }
+    }
     bool is_head_late = request_started_ != time_point{} && !receiving_ && exchanges_.empty() &&
                         now - request_started_ > limits_.header_timeout;
     bool is_idle_too_long =
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/caller_exchange.h"
+#include "gateway/eviction_order.h"
 
 #include <deque>
 #include <functional>
@@ -17,6 +18,8 @@
     static constexpr std::size_t max_exchanges = 32;
     /// Number of unsent response bytes above which reading from the server pauses.
     static constexpr std::size_t max_unsent_bytes = 256 * 1024;
+    /// The same limit while memory is short.
+    static constexpr std::size_t max_unsent_bytes_under_pressure = 16 * 1024;
 
     caller_connection(exchange_services& services, std::unique_ptr<tcp_stream> stream,
                       caller_limits limits, std::function<void(caller_connection*)> on_closed);
@@ -33,6 +36,13 @@
     auto is_idle() const -> bool { return exchanges_.empty() && !receiving_; }
     auto is_open() const -> bool { return !is_closed_; }
     auto close() -> void;
+    /// What closing this connection, or dropping the body in progress, would free.
+    auto eviction_state() const -> eviction_candidate;
+    /// Refuses the request whose body is being received and frees the body. The connection ends
+    /// after the responses in progress.
+    auto drop_body(std::string_view reason) -> void;
+    /// Stops reading the responses that wait for earlier ones, because memory is short.
+    auto pause_waiting_responses() -> void;
 
 private:
     struct queued_exchange {
@@ -45,6 +55,21 @@
 
     auto on_data(std::string_view bytes) -> void;
     auto parse() -> void;
+    /// Parses `bytes` as far as possible and returns the number of bytes that were used.
+    auto parse_bytes(std::string_view bytes) -> std::size_t;
+    auto on_body(std::string_view bytes) -> void;
+    /// Reserves memory for a body of `bytes`, if necessary by dropping others. Refuses the request
+    /// and returns false when there is none.
+    auto reserve_body(std::uint64_t bytes) -> bool;
+    /// Reserves memory for what was received of a head. Closes the connection when there is none.
+    auto reserve_head() -> void;
+    auto update_output_memory() -> void;
+    auto unsent_limit() const -> std::size_t
+    {
+        return services_.memory.pressure() == memory_pressure::none
+                   ? max_unsent_bytes
+                   : max_unsent_bytes_under_pressure;
+    }
     auto on_head(http1_head head) -> void;
     auto on_request_end() -> void;
     auto on_stream_end() -> void;
@@ -64,6 +89,16 @@
     std::function<void(caller_connection*)> on_closed_;
     std::unique_ptr<http1_parser> parser_;
     std::string input_;
+    memory_reservation input_memory_;
+    /// For responses that the caller has not taken or that wait for earlier ones.
+    memory_reservation output_memory_;
+    std::size_t queued_output_bytes_{0};
+    bool has_unsent_bytes_{false};
+    /// When the unsent bytes of responses were last zero.
+    time_point last_drained_{};
+    /// When the body in progress last grew by a substantial part, and its size then.
+    time_point body_progress_at_{};
+    std::size_t body_progress_size_{0};
     std::deque<queued_exchange> exchanges_;
     /// Exchange whose request is still being received.
     std::shared_ptr<caller_exchange> receiving_;
--- a/gateway/caller_exchange.cpp
+++ b/gateway/caller_exchange.cpp
@@ -24,6 +24,10 @@
 /// Priorities of routes are below this. The priority of a workspace goes before the one of the
 /// route.
 constexpr std::uint32_t route_priorities = 256;
+/// Bodies up to this size are sent in one write with the head of the request.
+constexpr std::size_t max_body_beside_head = std::size_t{16} * 1024;
+/// Retry-After time of a request for whose body there was no memory.
+constexpr duration no_memory_retry_after = std::chrono::seconds{1};
 /// A retry is not attempted with less time left than this.
 constexpr duration min_time_for_retry = milliseconds{60};
 
@@ -38,7 +42,7 @@
 caller_exchange::caller_exchange(exchange_services& services, http1_head head, output sink)
     : services_{services}, output_{std::move(sink)}, head_{std::move(head)},
       info_{decode_caller_request(head_.headers)}, received_{services.loop.now()},
-      keeps_connection_{head_.keeps_alive}
+      keeps_connection_{head_.keeps_alive}, response_memory_{services.memory, memory_kind::response}
 {
     deadline_ = received_ + info_.deadline.value_or(default_deadline);
     objective_ = received_;
@@ -55,6 +59,20 @@
     respond(status, reason, std::nullopt);
 }
 
+auto caller_exchange::refuse_body(std::string_view reason) -> void
+{
+    keeps_connection_ = false;
+    refuse(reason, no_memory_retry_after);
+}
+
+auto caller_exchange::try_reserve_body(std::uint64_t bytes) -> bool
+{
+    if (!body_) {
+        body_ = std::make_shared<request_body>(services_.memory);
+    }
+    return body_->try_reserve(bytes);
+}
+
 auto caller_exchange::route() -> bool
 {
     configuration_ = services_.configuration();
@@ -204,14 +222,18 @@
     request.request_id = info_.id;
     request.is_head = head_.method == "HEAD";
     request.max_idle = is_idempotent() ? max_idle_idempotent : max_idle_non_idempotent;
-    bool has_body = head_.framing != body_framing::none || !body_.empty();
-    auto length = has_body ? std::optional<std::uint64_t>{body_.size()} : std::nullopt;
+    bool has_body = head_.framing != body_framing::none || body_size() > 0;
+    auto length = has_body ? std::optional<std::uint64_t>{body_size()} : std::nullopt;
     std::optional<forwarded_identity> identity;
     if (configuration_->workspaces) {
         identity = forwarded_identity{workspace_ != nullptr ? workspace_->name.value() : ""};
     }
     request.bytes = encode_server_request(head_, server, time_left(), length, identity);
-    request.bytes.append(body_);
+    if (body_size() > max_body_beside_head) {
+        request.body = body_;
+    } else if (body_size() > 0) {
+        request.bytes.append(body_->blocks().front());
+    }
     sent_at_ = services_.loop.now();
     std::weak_ptr<caller_exchange> weak = weak_from_this();
     attempt_handlers handlers;
@@ -241,6 +263,9 @@
         }
     };
     attempt_ = services_.pool.send(std::move(request), std::move(handlers));
+    if (services_.memory.pressure() != memory_pressure::none) {
+        pause_waiting_response();
+    }
 }
 
 auto caller_exchange::withhold_attempt(time_point now) -> void
@@ -441,11 +466,19 @@
 
 auto caller_exchange::set_writable(bool is_writable) -> void
 {
-    if (attempt_ && phase_ == phase::responding) {
+    // A response that has not begun is not paused here, only by `pause_waiting_response`.
+    if (attempt_ && (phase_ == phase::responding || (phase_ == phase::sending && is_writable))) {
         attempt_->set_reading(is_writable);
     }
 }
 
+auto caller_exchange::pause_waiting_response() -> void
+{
+    if (attempt_ && !is_committed_ && !output_.is_next()) {
+        attempt_->set_reading(false);
+    }
+}
+
 auto caller_exchange::refuse(std::string_view reason, duration retry_after) -> void
 {
     services_.metrics.count("refusals_total");
@@ -482,6 +515,9 @@
     services_.loop.cancel(timer_);
     timer_ = 0;
     attempt_.reset();
+    body_.reset();
+    response_body_ = {};
+    response_memory_.resize(0);
     auto total = services_.loop.now() - received_;
     auto line = services_.log.request_line("request");
     line.text("id", info_.id)
--- a/gateway/caller_exchange.h
+++ b/gateway/caller_exchange.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway_configuration.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/node_settings.h"
+#include "gateway/request_body.h"
 #include "gateway/server_pool.h"
 #include "gateway/workspace_directory.h"
 
@@ -37,6 +38,10 @@
     /// Chooses the service for a request to a route with weighted targets.
     std::function<service_id(const gateway_route&)> choose_target;
     response_limit_settings response_limits;
+    memory_account& memory;
+    /// Drops one thing that holds memory without progress. Returns false when there is none.
+    std::function<bool()> free_memory;
+    body_limit_settings body_limits;
 };
 
 /// One request of a caller, from its head to the end of its response.
@@ -63,8 +68,22 @@
 
     /// Responds to a request that violates a limit or the protocol.
     auto reject(int status, std::string_view reason) -> void;
-    auto append_body(std::string_view bytes) -> void { body_.append(bytes); }
-    auto body_size() const -> std::size_t { return body_.size(); }
+    /// Refuses a request that was not received completely, and closes the connection.
+    auto refuse_body(std::string_view reason) -> void;
+    /// Reserves memory for a body of `bytes`. Returns false when there is no room.
+    auto try_reserve_body(std::uint64_t bytes) -> bool;
+    auto reserved_body_bytes() const -> std::uint64_t
+    {
+        return body_ ? body_->reserved_bytes() : 0;
+    }
+    /// Appends bytes for which memory was reserved.
+    auto append_body(std::string_view bytes) -> void { body_->append(bytes); }
+    auto body_size() const -> std::size_t { return body_ ? body_->size() : 0; }
+    /// Whether the deadline that the caller stated has passed, so that the request cannot be
+    /// served.
+    auto is_past_deadline(time_point now) const -> bool { return now >= deadline_; }
+    /// Keeps the memory of the request's head reserved until the exchange ends.
+    auto hold_head(memory_reservation memory) -> void { head_memory_ = std::move(memory); }
     /// The request was received completely; starts to process it.
     auto run() -> void;
     /// The caller has disconnected.
@@ -74,6 +93,8 @@
     auto respond_now() -> void;
     /// All earlier responses of the connection are complete, so this one may be passed on.
     auto on_next() -> void;
+    /// Stops reading a response that waits for earlier ones, because memory is short.
+    auto pause_waiting_response() -> void;
     /// Resumes or pauses reading from the server, depending on the space in the caller's buffer.
     auto set_writable(bool is_writable) -> void;
     auto is_done() const -> bool { return phase_ == phase::done; }
@@ -128,7 +149,9 @@
     exchange_services& services_;
     output output_;
     http1_head head_;
-    std::string body_;
+    /// Null for a request without a body.
+    std::shared_ptr<request_body> body_;
+    memory_reservation head_memory_;
     caller_request_info info_;
     std::shared_ptr<const active_configuration> configuration_;
     const gateway_route* route_{nullptr};
@@ -171,6 +194,7 @@
     http1_head response_;
     server_response_info response_info_;
     std::string response_body_;
+    memory_reservation response_memory_;
     std::uint64_t response_bytes_{0};
     /// The head of the response was passed on, so it cannot be replaced by another one.
     bool is_committed_{false};
--- a/gateway/caller_exchange_response.cpp
+++ b/gateway/caller_exchange_response.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t max_buffered_response = 32 * 1024;
 /// Number of bytes held back above which reading from the server pauses.
 constexpr std::size_t max_held_back_bytes = 256 * 1024;
+/// The same limit while memory is short; it also replaces `max_buffered_response` then.
+constexpr std::size_t max_bytes_under_pressure = 4 * 1024;
 
 auto encode_chunk(std::string_view bytes) -> std::string
 {
@@ -97,6 +99,7 @@
     output_.write(encode_caller_response(response_, framing, keeps_connection_));
     if (!response_body_.empty()) {
         auto bytes = std::exchange(response_body_, {});
+        response_memory_.resize(0);
         output_.write(is_response_chunked_ ? encode_chunk(bytes) : std::move(bytes));
     }
 }
@@ -117,10 +120,13 @@
         return;
     }
     response_body_.append(bytes);
-    if (response_body_.size() > max_buffered_response) {
+    response_memory_.resize(response_body_.capacity());
+    bool is_short = services_.memory.pressure() != memory_pressure::none;
+    if (response_body_.size() > (is_short ? max_bytes_under_pressure : max_buffered_response)) {
         stream_response();
     }
-    if (is_held_back_ && response_body_.size() > max_held_back_bytes) {
+    if (is_held_back_ &&
+        response_body_.size() > (is_short ? max_bytes_under_pressure : max_held_back_bytes)) {
         attempt_->set_reading(false);
     }
 }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -45,9 +45,18 @@
     return out;
 }
 
-auto caller_stream_options() -> stream_options
+/// Receive window of a caller's connection in bytes. It bounds what one read returns: with the
+/// system's default of several megabytes one fast caller fills as much again in the process.
+constexpr int caller_receive_window = 128 * 1024;
+/// Part of the process's memory that the account covers. The rest is for the program, its tables,
+/// connections and unused parts of the heap.
+constexpr std::uint64_t account_share_percent = 66;
+/// The part of the account that only small uses may take.
+constexpr std::uint64_t small_share_divisor = 8;
+
+auto account_capacity(std::uint32_t memory_mb) -> std::uint64_t
 {
-    return {milliseconds{5000}, seconds{5}};
+    return std::uint64_t{memory_mb} * 1'000'000 * account_share_percent / 100;
 }
 
 } // namespace
@@ -60,19 +69,26 @@
       mesh_{loop, log, metrics_, fleet_.self(), boot, mesh_hooks()},
       replicator_{
           loop, store_, log, random_, fleet_, mesh_, settings_.is_first_start, replicator_hooks()},
-      ownership_{loop, store_, log, std::string{coordination_topic_name()}}, pool_{loop, {}},
-      services_{loop_,
-                pool_,
-                directory_,
-                *this,
-                log_,
-                metrics_,
-                [this] { return configuration_; },
-                [this](const gateway_route& route) { return choose_target(route); },
-                settings_.response_limits},
+      ownership_{loop, store_, log, std::string{coordination_topic_name()}},
+      memory_{account_capacity(settings_.memory_mb),
+              account_capacity(settings_.memory_mb) / small_share_divisor},
+      pool_{loop, {}}, services_{
+                           loop_,
+                           pool_,
+                           directory_,
+                           *this,
+                           log_,
+                           metrics_,
+                           [this] { return configuration_; },
+                           [this](const gateway_route& route) { return choose_target(route); },
+                           settings_.response_limits,
+                           memory_,
+                           [this] { return free_memory(); },
+                           settings_.body_limits},
       context_{make_runtime_context()}
 {
     ownership_.set_copy(replicator_.coordination());
+    memory_.set_on_pressure([this](memory_pressure next) { on_memory_pressure(next); });
     directory_.set_on_ended(
         [this](const service_id& service, const server_id& server, std::int64_t incarnation) {
             if (auto* target = runtime(service)) {
@@ -184,8 +200,10 @@
 
 auto gateway::open_listeners() -> result<void>
 {
-    BOOST_OUTCOME_TRY(callers, listener::open(loop_, settings_.caller_address,
-                                              [this](auto* socket) { accept_caller(socket); }));
+    BOOST_OUTCOME_TRY(callers,
+                      listener::open(
+                          loop_, settings_.caller_address,
+                          [this](auto* socket) { accept_caller(socket); }, caller_receive_window));
     caller_listener_ = std::move(callers);
     BOOST_OUTCOME_TRY(mesh_.open());
     auto answer = [this](const std::string& path) { return status(path); };
@@ -210,6 +228,7 @@
         metrics_.set("ownership_writes_total", static_cast<double>(ownership_.writes()));
         metrics_.set("log_lines_total", static_cast<double>(log_.written()));
         metrics_.set("log_lines_dropped_total", static_cast<double>(log_.dropped()));
+        set_memory_metrics();
         std::size_t limited = 0;
         double limit = 0;
         for (const auto& [name, service] : runtimes_) {
@@ -246,26 +265,6 @@
     return it == runtimes_.end() ? nullptr : it->second.get();
 }
 
-auto gateway::accept_caller(st_h2o_socket_t* socket) -> void
-{
-    auto limits = configuration_ ? configuration_->content.limits : caller_limits{};
-    auto stream = std::make_unique<tcp_stream>(socket, caller_stream_options());
-    auto connection = std::make_shared<caller_connection>(
-        services_, std::move(stream), limits, [this](caller_connection* closed) {
-            // Deferred, because a function of the connection is still running.
-            loop_.schedule(duration::zero(), [this, closed, alive = alive_] {
-                if (*alive) {
-                    callers_.erase(closed);
-                }
-            });
-        });
-    callers_.emplace(connection.get(), connection);
-    connection->start();
-    if (is_shutting_down_) {
-        connection->shut_down(false);
-    }
-}
-
 auto gateway::on_peer_answer(const instance_id& from, const peer_message& message) -> void
 {
     if (const auto* update = std::get_if<topic_update>(&message)) {
@@ -446,6 +445,7 @@
 auto gateway::slow_tick(time_point now) -> void
 {
     directory_.tick(now);
+    peer_memory_.resize(mesh_.held_bytes());
     update_servers(now);
     pool_.tick(now, [this](const server_id& id) { return directory_.find(id) != nullptr; });
     auto callers = callers_;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -56,6 +56,14 @@
 
     auto open_listeners() -> result<void>;
     auto accept_caller(st_h2o_socket_t* socket) -> void;
+    /// Closes a connection in favour of a new one. Returns false when there is none that may be.
+    auto close_one_caller() -> bool;
+    /// Drops the body, head or response of a caller that is longest without progress. Returns false
+    /// when there is none.
+    auto free_memory() -> bool;
+    auto on_memory_pressure(memory_pressure next) -> void;
+    auto collect_eviction_candidates() -> void;
+    auto set_memory_metrics() -> void;
     auto make_runtime_context() -> runtime_context;
     auto mesh_hooks() -> peer_mesh::hooks;
     auto replicator_hooks() -> store_replicator::hooks;
@@ -107,6 +115,10 @@
     peer_mesh mesh_;
     store_replicator replicator_;
     conditional_topic_writer ownership_;
+    /// Before the parts that hold bodies and connections, whose reservations refer to it.
+    memory_account memory_;
+    /// Updated in each slow tick, because links hold bytes for milliseconds only.
+    memory_reservation peer_memory_{memory_, memory_kind::peer_message};
     server_pool pool_;
     exchange_services services_;
     runtime_context context_;
@@ -120,6 +132,14 @@
     std::unique_ptr<status_server> readiness_server_;
     std::unique_ptr<status_server> metrics_server_;
     std::map<const caller_connection*, std::shared_ptr<caller_connection>> callers_;
+    /// Connections in `callers_` that are not closed.
+    std::size_t open_callers_{0};
+    /// Filled for one choice at a time; the connections are those at the same indexes.
+    std::vector<eviction_candidate> eviction_candidates_;
+    std::vector<std::shared_ptr<caller_connection>> evictable_callers_;
+    /// Nothing could be freed recently, so the connections are not searched again before this.
+    time_point next_memory_search_{};
+    bool is_memory_exhausted_{false};
 
     std::map<server_id, std::unique_ptr<unary_client>> health_clients_;
     time_point next_health_check_{};
--- a/gateway/node_settings.h
+++ b/gateway/node_settings.h
@@ -17,6 +17,16 @@
     duration late_timeout{std::chrono::seconds{30}};
 };
 
+/// Limits on request bodies that are being received.
+struct body_limit_settings {
+    /// A body of which no byte arrives for this long is given up. Callers send a head within three
+    /// seconds and leave a connection idle for up to twelve.
+    duration timeout{std::chrono::seconds{30}};
+    /// When memory or descriptors are short, a body or a response without substantial progress for
+    /// this long may be dropped.
+    duration stall_timeout{std::chrono::seconds{1}};
+};
+
 /// Settings of one gateway instance, read from the settings file of its machine.
 struct node_settings {
     instance_id node;
@@ -33,6 +43,9 @@
     double cpu_share{1.0};
     /// Memory limit of the process in megabytes.
     std::uint32_t memory_mb{256};
+    /// Most descriptors that the process may open; zero is no limit.
+    std::uint32_t max_descriptors{0};
+    body_limit_settings body_limits;
     /// Partitions of the store topic that assigns services to coordinators.
     std::uint32_t store_partitions{8};
     /// Shortest time to live of a group membership that the store accepts.
--- a/gateway/peer_link.h
+++ b/gateway/peer_link.h
@@ -37,6 +37,11 @@
     /// Closes the connection; no handler is called any more, not even for received messages.
     auto close() -> void;
     auto is_open() const -> bool { return stream_->is_open(); }
+    /// Bytes of messages that are incomplete or not sent yet.
+    auto held_bytes() const -> std::size_t
+    {
+        return input_.size() + output_.size() + stream_->unsent_bytes();
+    }
     /// When the last bytes arrived.
     auto last_received() const -> time_point { return last_received_; }
 
--- a/gateway/peer_mesh.cpp
+++ b/gateway/peer_mesh.cpp
@@ -349,4 +349,16 @@
         sessions_, [](const auto& it) { return it.second->is_known && it.second->is_candidate; }));
 }
 
+auto peer_mesh::held_bytes() const -> std::size_t
+{
+    std::size_t out = 0;
+    for (const auto& [node, it] : links_) {
+        out += it.link ? it.link->held_bytes() : 0;
+    }
+    for (const auto& [source, it] : sessions_) {
+        out += it->link ? it->link->held_bytes() : 0;
+    }
+    return out;
+}
+
 } // namespace cornelswitch
--- a/gateway/peer_mesh.h
+++ b/gateway/peer_mesh.h
@@ -80,6 +80,8 @@
     /// Candidates that have opened a link to this instance.
     auto candidate_sessions() const -> std::size_t;
     auto sessions() const -> std::size_t { return sessions_.size(); }
+    /// Bytes of messages of all links that are incomplete or not sent yet.
+    auto held_bytes() const -> std::size_t;
 
 private:
     struct candidate_link {
--- a/gateway/server_pool.cpp
+++ b/gateway/server_pool.cpp
@@ -61,6 +61,8 @@
         skipped_bytes_ = 0;
         rejection_bytes_ = 0;
         is_message_complete_ = false;
+        next_block_ = 0;
+        is_reading_ = true;
         parser_->set_skips_body(request_.is_head);
         if (stream_) {
             is_reused_ = true;
@@ -80,6 +82,7 @@
 
     auto set_reading(bool enabled) -> void override
     {
+        is_reading_ = enabled;
         if (stream_) {
             stream_->set_reading(enabled);
         }
@@ -88,6 +91,7 @@
     auto close() -> void
     {
         is_closed_ = true;
+        request_.body.reset();
         stop_timer();
         if (stream_) {
             stream_->abort();
@@ -141,6 +145,7 @@
             }
         };
         stream_->start(std::move(stream_handlers));
+        stream_->set_reading(is_reading_);
         send();
     }
 
@@ -149,11 +154,31 @@
         ++pool_.counters_.requests;
         auto handler = handlers_.on_sent;
         stream_->write(std::move(request_.bytes));
+        if (request_.body) {
+            stream_->set_on_drained([weak = weak_from_this()] {
+                if (auto self = weak.lock(); self && self->is_active_) {
+                    self->send_next_block();
+                }
+            });
+        }
         if (handler) {
             handler();
         }
     }
 
+    auto has_unsent_body() const -> bool
+    {
+        return request_.body && next_block_ < request_.body->blocks().size();
+    }
+
+    /// Sends one block at a time, so that a server that reads slowly costs one block of memory.
+    auto send_next_block() -> void
+    {
+        if (has_unsent_body()) {
+            stream_->write(request_.body->blocks()[next_block_++]);
+        }
+    }
+
     auto on_head(http1_head head) -> void
     {
         auto info = decode_server_response(head);
@@ -269,8 +294,14 @@
         auto handlers = std::exchange(handlers_, {});
         is_active_ = false;
         stop_timer();
+        // The server responded before it had the whole body, so the connection carries no other
+        // request.
+        keeps_connection = keeps_connection && !has_unsent_body();
+        request_.body.reset();
         if (keeps_connection) {
             idle_since_ = pool_.loop_.now();
+            // Reading may have been paused by the part of the response that arrived last.
+            stream_->set_reading(true);
             pool_.return_to_idle(self);
         } else {
             close();
@@ -299,6 +330,9 @@
     std::unique_ptr<http1_parser> parser_;
     server_attempt_request request_;
     attempt_handlers handlers_;
+    /// Next block of the request's body to send.
+    std::size_t next_block_{0};
+    bool is_reading_{true};
     bool is_active_{false};
     bool is_closed_{false};
     bool is_reused_{false};
--- a/gateway/server_pool.h
+++ b/gateway/server_pool.h
@@ -4,6 +4,7 @@
 #include "adapters/h2o/tcp_stream.h"
 #include "adapters/http1/message_parser.h"
 #include "core/ids.h"
+#include "gateway/request_body.h"
 #include "platform/request_codec.h"
 #include "routing/admission_scheduler.h"
 
@@ -32,8 +33,10 @@
     endpoint address;
     /// Identifies the response; a response that names another request is skipped.
     std::string request_id;
-    /// Serialized request, head and body.
+    /// Serialized head of the request, and the body if it is not in `body`.
     std::string bytes;
+    /// Body that is sent after `bytes`, block by block. Shared with the other attempts.
+    std::shared_ptr<const request_body> body;
     bool is_head{false};
     /// Longest idle time of an open connection that may be reused for the request.
     duration max_idle{0};
@@ -73,7 +76,8 @@
         std::size_t max_rejection_bytes{64 * 1024};
         duration rejection_timeout{std::chrono::milliseconds{100}};
         /// The connection fails when sent bytes stay unacknowledged for longer than this.
-        stream_options stream{std::chrono::milliseconds{900}, std::chrono::seconds{2}};
+        /// The receive window bounds what the kernel holds for a response that is not read.
+        stream_options stream{std::chrono::milliseconds{900}, std::chrono::seconds{2}, 128 * 1024};
     };
     /// Totals since the start of the process.
     struct counters {
--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -76,6 +76,20 @@
     BOOST_TEST((decoded.value().shutdown_grace == node_settings{}.shutdown_grace));
 }
 
+// Guards against a limit that gives up every body because of a wrong value.
+BOOST_AUTO_TEST_CASE(holds_the_limits_of_memory_descriptors_and_bodies)
+{
+    const node_settings defaults;
+    auto decoded =
+        decode_settings(valid_settings + "Limits.MemoryMb=120\nLimits.MaxFds=3075\n"
+                                         "Bounds.BodyTimeout=20s\nBounds.BodyStall=0s\n");
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded.value().memory_mb == 120U);
+    BOOST_TEST(decoded.value().max_descriptors == 3075U);
+    BOOST_TEST((decoded.value().body_limits.timeout == seconds{20}));
+    BOOST_TEST((decoded.value().body_limits.stall_timeout == defaults.body_limits.stall_timeout));
+}
+
 BOOST_AUTO_TEST_CASE(is_an_error_when_it_is_unreadable_or_does_not_exist)
 {
     BOOST_TEST(decode_settings("\x01\x02 no lines").has_error());
