Fix the receive buffer of connections instead of clamping the window

Cause: chunks of one byte reached 31.2 to 44.7 MB in 6 runs, against a bound of 40 MB. The kernel raises TCP_WINDOW_CLAMP when it enlarges the receive buffer, so one read still returned megabytes. Blocks of bodies without a declared length also grew in place.

Change: SO_RCVBUF of 128 KiB for callers (set at the listener, inherited) and servers. Bodies of more than one block reserve whole blocks.

Measured: build/tests/test_processes -t '*/*/*chunks*' 8 times: 31.4 to 31.7 MB. All of test_processes 3 times: 11 of 11 cases pass each time. Of test_gateway the 19 cases of bodies, pipelined responses and endless servers pass.

--- a/adapters/h2o/listener.cpp
+++ b/adapters/h2o/listener.cpp
@@ -4,8 +4,6 @@
 
 #include <h2o.h>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <utility>
@@ -21,13 +19,13 @@
 } // namespace
 
 auto listener::open(event_loop& loop, const endpoint& address, accept_handler handler,
-                    int receive_window) -> result<std::unique_ptr<listener>>
+                    int receive_buffer) -> result<std::unique_ptr<listener>>
 {
     BOOST_OUTCOME_TRY(fd, open_listener(address));
-    if (receive_window > 0) {
-        // Accepted connections inherit it. An error is ignored: connections work without it.
-        (void)setsockopt(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, &receive_window,
-                         sizeof(receive_window));
+    if (receive_buffer > 0) {
+        // Accepted connections inherit it. TCP_WINDOW_CLAMP would not do: the kernel raises the
+        // clamp when it enlarges the buffer. An error is ignored: connections work without it.
+        (void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
     }
     endpoint bound{address.address, bound_port(fd)};
     return std::unique_ptr<listener>{new listener{loop, std::move(bound), fd, std::move(handler)}};
--- a/adapters/h2o/listener.h
+++ b/adapters/h2o/listener.h
@@ -16,10 +16,11 @@
 public:
     using accept_handler = std::function<void(st_h2o_socket_t*)>;
 
-    /// A `receive_window` over zero limits the bytes that a peer may send before they are read.
+    /// A `receive_buffer` over zero fixes the size of the kernel's receive buffer of each
+    /// connection, in bytes.
     /// Errors: `invalid_argument`, `unavailable` when the address cannot be bound.
     static auto open(event_loop& loop, const endpoint& address, accept_handler handler,
-                     int receive_window = 0) -> result<std::unique_ptr<listener>>;
+                     int receive_buffer = 0) -> result<std::unique_ptr<listener>>;
 
     listener(const listener&) = delete;
     auto operator=(const listener&) -> listener& = delete;
--- a/adapters/h2o/tcp_stream.cpp
+++ b/adapters/h2o/tcp_stream.cpp
@@ -32,8 +32,8 @@
         set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
                    static_cast<int>(options.unacknowledged_timeout.count()));
     }
-    if (options.receive_window > 0) {
-        set_option(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, options.receive_window);
+    if (options.receive_buffer > 0) {
+        set_option(fd, SOL_SOCKET, SO_RCVBUF, options.receive_buffer);
     }
     if (options.keepalive_idle.count() > 0) {
         set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
--- a/adapters/h2o/tcp_stream.h
+++ b/adapters/h2o/tcp_stream.h
@@ -29,9 +29,9 @@
     std::chrono::milliseconds unacknowledged_timeout{0};
     /// Idle time before keep-alive probes start; zero sends none.
     std::chrono::seconds keepalive_idle{0};
-    /// Most bytes that the peer may send before they are read (TCP_WINDOW_CLAMP); zero leaves the
-    /// default of the system, which grows to several megabytes.
-    int receive_window{0};
+    /// Size of the kernel's receive buffer in bytes; zero leaves the default of the system, which
+    /// grows to several megabytes.
+    int receive_buffer{0};
 };
 
 /// One TCP connection with a buffered writer. Used only on the event loop's thread.
--- a/gateway/caller_connection.cpp
+++ b/gateway/caller_connection.cpp
@@ -11,7 +11,8 @@
 /// Growth of a body that counts as progress. A body that grows by less within the stall time may be
 /// dropped when memory is short.
 constexpr std::size_t body_progress_step = std::size_t{16} * 1024;
-/// Memory for a body without a declared length is reserved in steps of this size.
+/// Memory for a body without a declared length is reserved in steps of this size, and of a whole
+/// block when it is larger than one block, so that no block grows and leaves gaps in the heap.
 constexpr std::size_t body_reservation_step = std::size_t{16} * 1024;
 /// A head whose fields take more memory than this is counted. An ordinary head takes less.
 constexpr std::size_t min_counted_head = std::size_t{8} * 1024;
@@ -126,10 +127,12 @@
         receiving_->reject(413, "body-too-large");
         return;
     }
-    if (size > receiving_->reserved_body_bytes() &&
-        !reserve_body((size + body_reservation_step - 1) / body_reservation_step *
-                      body_reservation_step)) {
-        return;
+    if (size > receiving_->reserved_body_bytes()) {
+        auto step =
+            size > request_body::block_size ? request_body::block_size : body_reservation_step;
+        if (!reserve_body((size + step - 1) / step * step)) {
+            return;
+        }
     }
     receiving_->append_body(bytes);
     if (size >= body_progress_size_ + body_progress_step) {
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -45,9 +45,9 @@
     return out;
 }
 
-/// Receive window of a caller's connection in bytes. It bounds what one read returns: with the
-/// system's default of several megabytes one fast caller fills as much again in the process.
-constexpr int caller_receive_window = 128 * 1024;
+/// Kernel receive buffer of a caller's connection in bytes. It bounds what one read returns: with
+/// the system's default of several megabytes one fast caller fills as much again in the process.
+constexpr int caller_receive_buffer = 128 * 1024;
 /// Part of the process's memory that the account covers. The rest is for the program, its tables,
 /// connections and unused parts of the heap.
 constexpr std::uint64_t account_share_percent = 66;
@@ -203,7 +203,7 @@
     BOOST_OUTCOME_TRY(callers,
                       listener::open(
                           loop_, settings_.caller_address,
-                          [this](auto* socket) { accept_caller(socket); }, caller_receive_window));
+                          [this](auto* socket) { accept_caller(socket); }, caller_receive_buffer));
     caller_listener_ = std::move(callers);
     BOOST_OUTCOME_TRY(mesh_.open());
     auto answer = [this](const std::string& path) { return status(path); };
--- a/gateway/server_pool.h
+++ b/gateway/server_pool.h
@@ -76,7 +76,7 @@
         std::size_t max_rejection_bytes{64 * 1024};
         duration rejection_timeout{std::chrono::milliseconds{100}};
         /// The connection fails when sent bytes stay unacknowledged for longer than this.
-        /// The receive window bounds what the kernel holds for a response that is not read.
+        /// The receive buffer bounds what the kernel holds for a response that is not read.
         stream_options stream{std::chrono::milliseconds{900}, std::chrono::seconds{2}, 128 * 1024};
     };
     /// Totals since the start of the process.
