Drop unread responses when they fill the whole account

Cause: many callers that each ask for one large response and read nothing fill the account in one iteration of the event loop, before any of them counts as stalled.

Change: when more than the whole account is held, no response is read for one iteration of the loop. In it stalled uses, then the connections with the most unsent bytes, are closed until half of the small share is free. A connection with earlier requests in progress is not closed for a new one.

--- a/gateway/caller_connection.cpp
+++ b/gateway/caller_connection.cpp
@@ -183,7 +183,7 @@
 {
     if (receiving_ && !is_rejected_) {
         return {connection_state::receiving_body, body_progress_at_,
-                receiving_->reserved_body_bytes()};
+                receiving_->reserved_body_bytes(), exchanges_.size() > 1};
     }
     if (stream_->unsent_bytes() > 0) {
         return {connection_state::sending, last_drained_, output_memory_.bytes()};
@@ -389,6 +389,23 @@
         is_server_paused_ = true;
         entry->exchange->set_writable(false);
     }
+    if (services_.memory.total() > services_.memory.capacity()) {
+        services_.shed_responses();
+    }
+}
+
+auto caller_connection::pause_responses() -> void
+{
+    for (auto& entry : exchanges_) {
+        entry.exchange->pause_response();
+    }
+}
+
+auto caller_connection::resume_response() -> void
+{
+    if (!is_closed_ && !exchanges_.empty()) {
+        exchanges_.front().exchange->set_writable(!is_server_paused_);
+    }
 }
 
 auto caller_connection::on_finished(const caller_exchange* from, bool keeps_connection) -> void
--- a/gateway/caller_connection.h
+++ b/gateway/caller_connection.h
@@ -43,6 +43,9 @@
     auto drop_body(std::string_view reason) -> void;
     /// Stops reading the responses that wait for earlier ones, because memory is short.
     auto pause_waiting_responses() -> void;
+    /// Stops reading all responses, and resumes the one that is next.
+    auto pause_responses() -> void;
+    auto resume_response() -> void;
 
 private:
     struct queued_exchange {
--- a/gateway/caller_exchange.cpp
+++ b/gateway/caller_exchange.cpp
@@ -472,6 +472,13 @@
     }
 }
 
+auto caller_exchange::pause_response() -> void
+{
+    if (attempt_) {
+        attempt_->set_reading(false);
+    }
+}
+
 auto caller_exchange::pause_waiting_response() -> void
 {
     if (attempt_ && !is_committed_ && !output_.is_next()) {
--- a/gateway/caller_exchange.h
+++ b/gateway/caller_exchange.h
@@ -41,6 +41,8 @@
     memory_account& memory;
     /// Drops one thing that holds memory without progress. Returns false when there is none.
     std::function<bool()> free_memory;
+    /// Responses fill the whole account: stops reading them until some have been dropped.
+    std::function<void()> shed_responses;
     body_limit_settings body_limits;
 };
 
@@ -95,6 +97,7 @@
     auto on_next() -> void;
     /// Stops reading a response that waits for earlier ones, because memory is short.
     auto pause_waiting_response() -> void;
+    auto pause_response() -> void;
     /// Resumes or pauses reading from the server, depending on the space in the caller's buffer.
     auto set_writable(bool is_writable) -> void;
     auto is_done() const -> bool { return phase_ == phase::done; }
--- a/gateway/eviction_order.cpp
+++ b/gateway/eviction_order.cpp
@@ -14,7 +14,7 @@
             it.state == connection_state::idle || it.state == connection_state::receiving_head;
         bool is_stalled =
             it.state == connection_state::receiving_body && now - it.last_progress >= stall_time;
-        if (!is_without_request && !is_stalled) {
+        if ((!is_without_request && !is_stalled) || it.has_earlier_requests) {
             continue;
         }
         if (!out || std::tuple{it.state, it.last_progress} <
--- a/gateway/eviction_order.h
+++ b/gateway/eviction_order.h
@@ -30,6 +30,8 @@
     time_point last_progress{};
     /// Bytes that closing it frees.
     std::uint64_t held_bytes{0};
+    /// Earlier requests of the connection are being processed, so it is not closed for another one.
+    bool has_earlier_requests{false};
 };
 
 /// Chooses the connection to close for a new one: the longest idle one, then the one whose head has
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -84,6 +84,7 @@
                            settings_.response_limits,
                            memory_,
                            [this] { return free_memory(); },
+                           [this] { shed_responses(); },
                            settings_.body_limits},
       context_{make_runtime_context()}
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -61,6 +61,10 @@
     /// Drops the body, head or response of a caller that is longest without progress. Returns false
     /// when there is none.
     auto free_memory() -> bool;
+    /// Responses fill the whole account: reads none until, in the next iteration of the loop, the
+    /// callers that hold the most unread bytes have been dropped.
+    auto shed_responses() -> void;
+    auto drop_largest_response() -> bool;
     auto on_memory_pressure(memory_pressure next) -> void;
     auto collect_eviction_candidates() -> void;
     auto set_memory_metrics() -> void;
@@ -140,6 +144,7 @@
     /// Nothing could be freed recently, so the connections are not searched again before this.
     time_point next_memory_search_{};
     bool is_memory_exhausted_{false};
+    bool is_shedding_{false};
 
     std::map<server_id, std::unique_ptr<unary_client>> health_clients_;
     time_point next_health_check_{};
--- a/gateway/gateway_callers.cpp
+++ b/gateway/gateway_callers.cpp
@@ -105,6 +105,49 @@
     return chosen.has_value();
 }
 
+auto gateway::shed_responses() -> void
+{
+    if (std::exchange(is_shedding_, true)) {
+        return;
+    }
+    for (auto& [raw, caller] : callers_) {
+        caller->pause_responses();
+    }
+    // Deferred, because the exchange that reported the shortage is still running.
+    loop_.schedule(duration::zero(), [this, alive = alive_] {
+        if (!*alive) {
+            return;
+        }
+        is_shedding_ = false;
+        // Half of the small share becomes free, so that this does not repeat with each response.
+        auto target = (memory_.limit(memory_use::large) + memory_.capacity()) / 2;
+        while (memory_.total() > target && (free_memory() || drop_largest_response())) {
+        }
+        for (auto& [raw, caller] : callers_) {
+            caller->resume_response();
+        }
+    });
+}
+
+auto gateway::drop_largest_response() -> bool
+{
+    caller_connection* largest = nullptr;
+    std::uint64_t most = 0;
+    for (const auto& [raw, caller] : callers_) {
+        auto state = caller->is_open() ? caller->eviction_state() : eviction_candidate{};
+        if (state.state == connection_state::sending && state.held_bytes > most) {
+            largest = caller.get();
+            most = state.held_bytes;
+        }
+    }
+    if (largest == nullptr) {
+        return false;
+    }
+    metrics_.count("memory_dropped_responses_total");
+    largest->close();
+    return true;
+}
+
 auto gateway::on_memory_pressure(memory_pressure next) -> void
 {
     if (next != memory_pressure::none) {
--- a/tests/processes/bounded_memory_test.cpp
+++ b/tests/processes/bounded_memory_test.cpp
@@ -161,6 +161,25 @@
     check_process();
 }
 
+// Guards against many callers each of which holds no more than an ordinary one does.
+BOOST_AUTO_TEST_CASE(keeps_its_bound_with_one_large_response_for_each_of_many_callers)
+{
+    memory_mb = 36;
+    bulk.handle_request = [&](fake_backend& self, received_request& request) {
+        request.send(self.valid_response(request, bytes.substr(0, 240 * kib)));
+    };
+    start();
+    constexpr int small_buffer = 4096;
+    for (int n = 0; n < 400; ++n) {
+        crowd.push_back({std::make_unique<raw_connection>(callers_address, small_buffer),
+                         "GET /bulk/1 HTTP/1.1\r\nHost: h\r\n" + request_headers + "\r\n",
+                         {}});
+        crowd.back().is_reading = false;
+    }
+    run_crowd();
+    check_process();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(with_a_crowd_that_sends_no_request, crowd_fixture)
