Test the log lines of the memory account and reject a limit of zero

Cause: nothing checked that exhaustion is logged once. Limits.MemoryMb=0 made an account without room, which refuses every body.

Change: a case of test_processes counts memory-exhausted and memory-free; zero keeps the default.

--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -85,6 +85,8 @@
                                          "Bounds.BodyTimeout=20s\nBounds.BodyStall=0s\n");
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST(decoded.value().memory_mb == 120U);
+    BOOST_TEST(decode_settings(valid_settings + "Limits.MemoryMb=0\n").value().memory_mb ==
+               defaults.memory_mb);
     BOOST_TEST(decoded.value().max_descriptors == 3075U);
     BOOST_TEST((decoded.value().body_limits.timeout == seconds{20}));
     BOOST_TEST((decoded.value().body_limits.stall_timeout == defaults.body_limits.stall_timeout));
--- a/tests/processes/bounded_memory_test.cpp
+++ b/tests/processes/bounded_memory_test.cpp
@@ -65,6 +65,29 @@
     check_process();
 }
 
+// Guards against a log that is filled by refusals, or says nothing of them.
+BOOST_AUTO_TEST_CASE(logs_once_that_its_memory_is_exhausted_and_once_that_it_is_free)
+{
+    auto count = [&](std::string_view event) {
+        auto log = process->log();
+        std::size_t out = 0;
+        for (auto at = log.find(event); at != std::string::npos; at = log.find(event, at + 1)) {
+            ++out;
+        }
+        return out;
+    };
+    start();
+    for (int n = 0; n < 32; ++n) {
+        add_member(post_head(max_body), body(max_body - 1));
+    }
+    run_crowd();
+    BOOST_TEST(count(R"("memory-exhausted")") == 1U);
+    BOOST_TEST(count(R"("memory-free")") == 0U);
+    crowd.clear();
+    run_until([&] { return count(R"("memory-free")") == 1; });
+    BOOST_TEST(count(R"("memory-exhausted")") == 1U);
+}
+
 // Guards against large bodies that are announced and of which only the last byte is missing.
 BOOST_AUTO_TEST_CASE(keeps_its_bound_with_whole_bodies_one_byte_short)
 {
