--- a/adapters/h2o/listener.cpp
+++ b/adapters/h2o/listener.cpp
@@ -4,6 +4,8 @@
 
 #include <h2o.h>
 
+#include <sys/socket.h>
+
 #include <utility>
 
 namespace cornelswitch {
@@ -16,10 +18,15 @@
 
 } // namespace
 
-auto listener::open(event_loop& loop, const endpoint& address, accept_handler handler)
-    -> result<std::unique_ptr<listener>>
+auto listener::open(event_loop& loop, const endpoint& address, accept_handler handler,
+                    int receive_buffer) -> result<std::unique_ptr<listener>>
 {
     BOOST_OUTCOME_TRY(fd, open_listener(address));
+    if (receive_buffer > 0) {
+        // Accepted connections inherit it. TCP_WINDOW_CLAMP would not do: the kernel raises the
+        // clamp when it enlarges the buffer. An error is ignored: connections work without it.
+        (void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
+    }
     endpoint bound{address.address, bound_port(fd)};
     return std::unique_ptr<listener>{new listener{loop, std::move(bound), fd, std::move(handler)}};
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -57,6 +57,18 @@
 
     auto open_listeners() -> result<void>;
     auto accept_caller(st_h2o_socket_t* socket) -> void;
+    /// Closes a connection in favour of a new one. Returns false when there is none that may be.
+    auto close_one_caller() -> bool;
+    /// Drops the body, head or response of a caller that is longest without progress. Returns false
+    /// when there is none.
+    auto free_memory() -> bool;
+    /// Responses fill the whole account: reads none until, in the next iteration of the loop, the
+    /// callers that hold the most unread bytes have been dropped.
+    auto shed_responses() -> void;
+    auto drop_largest_response() -> bool;
+    auto on_memory_pressure(memory_pressure next) -> void;
+    auto collect_eviction_candidates() -> void;
+    auto set_memory_metrics() -> void;
     auto make_runtime_context() -> runtime_context;
     /// The service whose coordinator allocates the quotas of workspaces: the first by name.
     auto allocating_service() -> service_runtime*;
@@ -116,6 +128,10 @@
     peer_mesh mesh_;
     store_replicator replicator_;
     conditional_topic_writer ownership_;
+    /// Before the parts that hold bodies and connections, whose reservations refer to it.
+    memory_account memory_;
+    /// Updated in each slow tick, because links hold bytes for milliseconds only.
+    memory_reservation peer_memory_{memory_, memory_kind::peer_message};
     server_pool pool_;
     quota_runtime quotas_;
     exchange_services services_;
@@ -130,6 +146,15 @@
     std::unique_ptr<status_server> readiness_server_;
     std::unique_ptr<status_server> metrics_server_;
     std::map<const caller_connection*, std::shared_ptr<caller_connection>> callers_;
+    /// Connections in `callers_` that are not closed.
+    std::size_t open_callers_{0};
+    /// Filled for one choice at a time; the connections are those at the same indexes.
+    std::vector<eviction_candidate> eviction_candidates_;
+    std::vector<std::shared_ptr<caller_connection>> evictable_callers_;
+    /// Nothing could be freed recently, so the connections are not searched again before this.
+    time_point next_memory_search_{};
+    bool is_memory_exhausted_{false};
+    bool is_shedding_{false};
 
     std::map<server_id, std::unique_ptr<unary_client>> health_clients_;
     time_point next_health_check_{};
