--- a/review/standin-2/harness.h
+++ b/review/standin-2/harness.h
@@ -533,6 +533,9 @@
     bool is_sharded{false};
     /// Size of the body of an answer; 0 for a short one.
     std::size_t answer_bytes{0};
+    /// Every n-th request that runs fails with this status; 0 for none.
+    int failing_request{0};
+    int failure_status{500};
 };
 
 constexpr std::size_t key_count = 65536;
@@ -574,6 +577,12 @@
         return {held_until_.begin(), held_until_.end()};
     }
 
+    auto has_run(const std::string& id) const -> bool
+    {
+        std::lock_guard lock{mutex_};
+        return run_ids_.contains(id);
+    }
+
 private:
     auto respond(const message& request) -> reply
     {
@@ -652,6 +661,7 @@
             slot_free_.wait(lock, [&] { return working_ < options_.slots; });
             ++working_;
             running_keys_.insert(key);
+            run_ids_.insert(id);
         }
         record_.line(options_.id + " runs " + id + " key " + std::to_string(key));
         sleep_s(options_.work_s);
@@ -661,9 +671,12 @@
         running_keys_.erase(running_keys_.find(key));
         slot_free_.notify_one();
         ended_.notify_all();
-        auto body = "ok " + id;
+        bool is_failure =
+            options_.failing_request > 0 && ++requests_run_ % options_.failing_request == 0;
+        auto body = (is_failure ? "failed " : "ok ") + id;
         body.append(std::max(body.size(), options_.answer_bytes) - body.size(), '.');
-        return {200, echo + "X-Response-Seal: " + options_.id + "." + id + "\r\n", body};
+        return {is_failure ? options_.failure_status : 200,
+                echo + "X-Response-Seal: " + options_.id + "." + id + "\r\n", body};
     }
 
     backend_options options_;
@@ -677,8 +690,10 @@
     std::vector<std::uint64_t> fence_ = std::vector<std::uint64_t>(key_count);
     std::vector<double> held_until_ = std::vector<double>(key_count);
     std::multiset<std::size_t> running_keys_;
+    std::set<std::string> run_ids_;
     int running_{0};
     int working_{0};
+    int requests_run_{0};
     http_server server_;
 };
 
