--- a/review/standin-2/forged_entry.cc
+++ b/review/standin-2/forged_entry.cc
@@ -102,6 +102,19 @@
     return out;
 }
 
+/// Adds an entry of a service that no configuration names, at the address of `server`.
+auto add_entry(const backend& server, metadata_store& store, recorder& record) -> void
+{
+    json entry{
+        {"Addr", server.address()},
+        {"Info",
+         {{"Service", "catalog-metrics"}, {"Version", "v1"}, {"Zone", "zone-a"}, {"Slots", 2}}},
+        {"Status", {{"State", "ready"}, {"Seq", 1}, {"ColdLeft", "0ms"}}},
+        {"born", unix_ms()}};
+    record.line("another writer adds servers/i-other: " + entry.dump());
+    store.put("keyed.servers", "i-other", entry.dump());
+}
+
 auto run(const std::string& folder, const std::string& temporary) -> int
 {
     recorder record{folder};
@@ -126,11 +139,16 @@
     }
     store.put("keyed.op", "config", configuration());
     std::atomic<bool> is_over{false};
+    std::atomic<bool> is_entry_due{false};
     std::thread beats{[&] {
         while (!is_over) {
             for (auto* it : servers) {
                 it->beat();
             }
+            // Right after the beats, so that no beat is read together with the entry.
+            if (is_entry_due.exchange(false)) {
+                add_entry(*servers[0], store, record);
+            }
             sleep_s(0.87);
         }
     }};
@@ -192,16 +210,7 @@
     while (now() < start + trouble_at + observed_s) {
         if (!is_written && now() >= start + trouble_at) {
             is_written = true;
-            json entry{{"Addr", servers[0]->address()},
-                       {"Info",
-                        {{"Service", "catalog-metrics"},
-                         {"Version", "v1"},
-                         {"Zone", "zone-a"},
-                         {"Slots", 2}}},
-                       {"Status", {{"State", "ready"}, {"Seq", 1}, {"ColdLeft", "0ms"}}},
-                       {"born", unix_ms()}};
-            record.line("another writer adds servers/i-other: " + entry.dump());
-            store.put("keyed.servers", "i-other", entry.dump());
+            is_entry_due = true;
         }
         checker.check();
         sleep_s(0.02);
--- a/review/standin-2/harness.hh
+++ b/review/standin-2/harness.hh
@@ -11,6 +11,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -749,6 +750,8 @@
         auto log = folder + "/" + options.name + ".log";
         pid_ = fork();
         if (pid_ == 0) {
+            // Ends together with the test, also when the test is killed.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
             dup2(fd, 1);
             dup2(fd, 2);
