Keep the error of a failed write until the end of the stream is reported

Callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: without a length, only the kind of the connection's end tells whether the body is complete. The kernel reports a reset once, and during an upload a write gets the report. The next read returns an orderly end, which h2o handles before it reports the failed write, so tcp_stream reported `closed` and server_pool took the response as complete. strace of the new case on the code before: writev returns ECONNRESET, then read returns 0.

Change: tcp_stream sends by itself, keeps an error other than EPIPE, and reports `failed` whatever the reads return. EPIPE means that the peer had ended its side in order before it reset the connection, so its response is complete. Bytes that came before a write failed are delivered before the end.

Why it works: every error that a socket reports goes either to a read, which fails the stream as before, or to this send, which now does so too. h2o takes none.

--- a/adapters/h2o/tcp_stream.cpp
+++ b/adapters/h2o/tcp_stream.cpp
@@ -8,7 +8,11 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
+#include <cerrno>
 #include <utility>
 
 namespace cornelswitch {
@@ -18,6 +22,7 @@
 /// Unacknowledged keep-alive probes after which the kernel closes a connection.
 constexpr int keepalive_probes = 2;
 constexpr int keepalive_interval_s = 1;
+constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
 
 auto set_option(int fd, int level, int name, int value) -> void
 {
@@ -49,8 +54,13 @@
     h2o_socket_t* socket{nullptr};
     handlers receivers;
     std::string in_flight;
+    /// Number of bytes at the start of `in_flight` that have been handed to the kernel.
+    std::size_t sent{0};
     std::string pending;
     bool is_write_active{false};
+    /// A write got the report that the connection was reset or timed out. The kernel makes this
+    /// report once; afterwards reads see an orderly end.
+    bool has_failed{false};
     bool closes_after_write{false};
     bool shuts_down_after_write{false};
 
@@ -68,9 +78,58 @@
         }
         in_flight.swap(pending);
         pending.clear();
+        sent = 0;
         is_write_active = true;
-        h2o_iovec_t buf = h2o_iovec_init(in_flight.data(), in_flight.size());
-        h2o_socket_write(socket, &buf, 1, on_written);
+        send_in_flight();
+    }
+
+    /// Used instead of h2o's write, which does not tell which error occurred. A write of no buffers
+    /// makes h2o call `on_written` or `on_write_failed` in this iteration of the event loop.
+    auto send_in_flight() -> void
+    {
+        ssize_t n = -1;
+        do {
+            n = ::send(h2o_socket_get_fd(socket), in_flight.data() + sent, in_flight.size() - sent,
+                       MSG_NOSIGNAL | MSG_DONTWAIT);
+        } while (n < 0 && errno == EINTR);
+        if (n < 0 && errno != EAGAIN) {
+            // EPIPE: the peer had ended its direction in order before it reset the connection.
+            has_failed = errno != EPIPE;
+            h2o_socket_write(socket, nullptr, 0, on_write_failed);
+            return;
+        }
+        sent += static_cast<std::size_t>(std::max<ssize_t>(n, 0));
+        if (sent < in_flight.size()) {
+            h2o_socket_notify_write(socket, on_writable);
+        } else {
+            h2o_socket_write(socket, nullptr, 0, on_written);
+        }
+    }
+
+    /// Delivers the bytes that arrived before a write failed, such as an early response, and ends.
+    auto end_after_write_failure() -> void
+    {
+        std::array<char, read_buffer_bytes> buf{};
+        ssize_t n = -1;
+        while (socket != nullptr && h2o_socket_is_reading(socket) != 0) {
+            n = recv(h2o_socket_get_fd(socket), buf.data(), buf.size(), MSG_DONTWAIT);
+            if (n <= 0) {
+                break;
+            }
+            deliver({buf.data(), static_cast<std::size_t>(n)});
+        }
+        if (socket != nullptr) {
+            end(n == 0 ? stream_end::closed : stream_end::failed);
+        }
+    }
+
+    auto deliver(std::string_view bytes) const -> void
+    {
+        if (receivers.on_data) {
+            // Copied, because closing the stream in the handler destroys the receivers.
+            auto handler = receivers.on_data;
+            handler(bytes);
+        }
     }
 
     auto close_socket() -> void
@@ -89,11 +148,25 @@
         auto handler = std::move(receivers.on_end);
         receivers = {};
         if (handler) {
-            handler(reason);
+            handler(has_failed ? stream_end::failed : reason);
+        }
+    }
+
+    static auto on_writable(h2o_socket_t* socket, const char*) -> void
+    {
+        if (socket->data != nullptr) {
+            static_cast<state*>(socket->data)->shared_from_this()->send_in_flight();
         }
     }
 
-    static auto on_written(h2o_socket_t* socket, const char* err) -> void
+    static auto on_write_failed(h2o_socket_t* socket, const char*) -> void
+    {
+        if (socket->data != nullptr) {
+            static_cast<state*>(socket->data)->shared_from_this()->end_after_write_failure();
+        }
+    }
+
+    static auto on_written(h2o_socket_t* socket, const char*) -> void
     {
         if (socket->data == nullptr) {
             return;
@@ -101,10 +174,7 @@
         auto self = static_cast<state*>(socket->data)->shared_from_this();
         self->is_write_active = false;
         self->in_flight.clear();
-        if (err != nullptr) {
-            self->end(stream_end::failed);
-            return;
-        }
+        self->sent = 0;
         if (!self->pending.empty()) {
             self->flush();
             return;
@@ -135,11 +205,7 @@
             // while it uses the bytes, and so that idle connections hold no buffer.
             auto* input = socket->input;
             h2o_buffer_init(&socket->input, &h2o_socket_buffer_prototype);
-            if (self->receivers.on_data) {
-                // Copied, because closing the stream in the handler destroys the receivers.
-                auto handler = self->receivers.on_data;
-                handler(std::string_view{input->bytes, input->size});
-            }
+            self->deliver({input->bytes, input->size});
             h2o_buffer_dispose(&input);
         }
         if (err != nullptr && self->socket != nullptr) {
--- a/adapters/h2o/tcp_stream.h
+++ b/adapters/h2o/tcp_stream.h
@@ -16,7 +16,7 @@
 
 /// Why a stream ended.
 enum class stream_end : std::uint8_t {
-    /// The peer closed its side without a reset.
+    /// The peer closed its side in order. It may have reset the connection after that.
     closed,
     /// The connection was reset or timed out; bytes may be missing.
     failed,
--- a/tests/adapters/raw_connection.h
+++ b/tests/adapters/raw_connection.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace cornelswitch::test {
 
@@ -36,7 +37,12 @@
     explicit raw_connection(int fd) : fd_{fd} {}
     raw_connection(const raw_connection&) = delete;
     auto operator=(const raw_connection&) -> raw_connection& = delete;
-    ~raw_connection() { close(fd_); }
+    ~raw_connection()
+    {
+        if (fd_ >= 0) {
+            close(fd_);
+        }
+    }
 
     auto send(std::string_view bytes) -> void
     {
@@ -50,6 +56,17 @@
         return n > 0 ? static_cast<std::size_t>(n) : 0;
     }
 
+    /// Ends the sending direction in order.
+    auto finish_sending() -> void { (void)shutdown(fd_, SHUT_WR); }
+
+    /// Resets the connection. Nothing else may be called afterwards.
+    auto reset() -> void
+    {
+        linger immediate{1, 0};
+        (void)setsockopt(fd_, SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
+        close(std::exchange(fd_, -1));
+    }
+
     /// Appends the bytes that have arrived to `received`. Returns false when the peer has closed or
     /// reset the connection.
     auto receive() -> bool
--- a/tests/adapters/tcp_stream_test.cpp
+++ b/tests/adapters/tcp_stream_test.cpp
@@ -4,6 +4,7 @@
 #include "tests/adapters/raw_connection.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace cornelswitch {
 namespace {
@@ -51,5 +52,80 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// A stream that records what it receives and how it ends.
+struct recording_stream_fixture : stream_fixture {
+    recording_stream_fixture()
+    {
+        tcp_stream::handlers receivers;
+        receivers.on_data = [this](std::string_view bytes) { received.append(bytes); };
+        receivers.on_end = [this](stream_end reason) { end = reason; };
+        it->start(std::move(receivers));
+    }
+
+    /// Writes more than the kernel takes, so that the write stays active.
+    auto start_long_write() -> void
+    {
+        it->write(std::string(std::size_t{16} << 20U, 'x'));
+        BOOST_REQUIRE(it->unsent_bytes() > 0U);
+    }
+
+    std::string received;
+    std::optional<stream_end> end;
+};
+
+BOOST_AUTO_TEST_SUITE(a_tcp_stream)
+
+BOOST_FIXTURE_TEST_SUITE(whose_peer_does_not_read_all, recording_stream_fixture)
+
+// The kernel reports a reset to one call only. These cases guard against a stream whose write gets
+// the report, and which takes the following end of input for an orderly one: the receiver would
+// accept a truncated message that ends with its connection.
+BOOST_AUTO_TEST_CASE(fails_when_a_reset_interrupts_a_write_in_progress)
+{
+    start_long_write();
+    peer->send("part");
+    run_until([&] { return received == "part"; });
+    peer->reset();
+    run_until([&] { return end.has_value(); });
+    BOOST_CHECK(*end == stream_end::failed);
+}
+
+BOOST_AUTO_TEST_CASE(fails_when_a_write_follows_a_reset)
+{
+    peer->send("part");
+    peer->reset();
+    it->write("x");
+    run_until([&] { return end.has_value(); });
+    BOOST_CHECK(*end == stream_end::failed);
+    BOOST_TEST(received == "part");
+}
+
+// Guards against a complete message that is rejected because its sender did not read the whole
+// request.
+BOOST_AUTO_TEST_CASE(ends_in_order_when_the_peer_finishes_before_the_write_does)
+{
+    start_long_write();
+    peer->send("whole");
+    peer->finish_sending();
+    run_until([&] { return end.has_value(); });
+    BOOST_CHECK(*end == stream_end::closed);
+    BOOST_TEST(received == "whole");
+}
+
+BOOST_AUTO_TEST_CASE(ends_in_order_when_the_peer_finishes_and_then_resets)
+{
+    start_long_write();
+    peer->send("whole");
+    peer->finish_sending();
+    peer->reset();
+    run_until([&] { return end.has_value(); });
+    BOOST_CHECK(*end == stream_end::closed);
+    BOOST_TEST(received == "whole");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 } // namespace cornelswitch
