Fail a call whose response without a length ends with a reset

Seen: a response of the store, or of a server that is called for its keys or its health, that has no length and whose connection is reset in the middle of its body was taken as complete. Part of a log read or of a listing would be used as the whole; callers see only what follows from it.

Cause: unary_client ignored how the connection ended and asked only whether the parser accepts an end here.

Change: only an orderly end completes a response without a length.

--- a/gateway/unary_client.cpp
+++ b/gateway/unary_client.cpp
@@ -167,19 +167,20 @@
             finish(self, std::move(self->response), keeps);
         }
     };
-    stream_handlers.on_end = [this, weak, alive = alive_](stream_end) {
+    stream_handlers.on_end = [this, weak, alive = alive_](stream_end reason) {
         auto self = weak.lock();
         if (*alive && self && !self->is_closed) {
-            on_end(self);
+            on_end(self, reason);
         }
     };
     conn->stream->start(std::move(stream_handlers));
     send(conn);
 }
 
-auto unary_client::on_end(const std::shared_ptr<connection>& conn) -> void
+auto unary_client::on_end(const std::shared_ptr<connection>& conn, stream_end reason) -> void
 {
-    if (conn->is_busy && conn->parser && conn->parser->finish() && conn->is_complete) {
+    if (reason == stream_end::closed && conn->is_busy && conn->parser && conn->parser->finish() &&
+        conn->is_complete) {
         finish(conn, std::move(conn->response), false);
     } else {
         finish(conn, error{error_code::connection_lost, "call", server_.to_text(), "closed"},
--- a/gateway/unary_client.h
+++ b/gateway/unary_client.h
@@ -61,7 +61,7 @@
                 bool keeps_connection) -> void;
     auto on_connected(const std::shared_ptr<connection>& conn, std::unique_ptr<tcp_stream> stream)
         -> void;
-    auto on_end(const std::shared_ptr<connection>& conn) -> void;
+    auto on_end(const std::shared_ptr<connection>& conn, stream_end reason) -> void;
 
     event_loop& loop_;
     endpoint server_;
--- a/tests/gateway/unary_client_test.cpp
+++ b/tests/gateway/unary_client_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -105,5 +106,45 @@
     BOOST_TEST(answers == 1);
 }
 
+/// A client of a server whose responses end with their connections.
+struct response_without_length_fixture : loop_fixture {
+    auto call() -> result<http_response>
+    {
+        std::optional<result<http_response>> outcome;
+        client.call({}, seconds{1},
+                    [&](result<http_response> response) { outcome = std::move(response); });
+        run_until([&] { return outcome.has_value(); });
+        return std::move(*outcome);
+    }
+
+    std::function<void(const received_request&)> respond;
+    fake_http_server server{loop, [this](const received_request& request) { respond(request); }};
+    unary_client client{loop, server.address(), {}};
+    std::string head{"HTTP/1.1 200 OK\r\n\r\n"};
+};
+
+BOOST_FIXTURE_TEST_SUITE(a_response_without_a_length, response_without_length_fixture)
+
+// Guards against a reset connection that ends a truncated response of the store, or of a server
+// that is called for its keys or its health, as if it were complete.
+BOOST_AUTO_TEST_CASE(is_an_error_when_its_connection_is_reset)
+{
+    respond = [&](const received_request& request) {
+        request.send(head + "part");
+        request.reset();
+    };
+    BOOST_TEST(call().has_error());
+}
+
+BOOST_AUTO_TEST_CASE(is_complete_when_its_connection_ends_in_order)
+{
+    respond = [&](const received_request& request) { request.send_and_close(head + "whole"); };
+    auto response = call();
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response.value().body == "whole");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 } // namespace cornelswitch::test
