Keep the handler of a test's odd responses independent of its caller

Cause: read as a newcomer, check_not_passed_on left a handler in a fake server that referred to an argument of the finished call.

Change: the handler holds a copy; the fixture says what it is for.

--- a/tests/gateway/odd_bytes_test.cpp
+++ b/tests/gateway/odd_bytes_test.cpp
@@ -11,13 +11,14 @@
 
 using namespace test;
 
+/// A gateway whose servers send odd bytes.
 struct odd_bytes_fixture : gateway_fixture {
     /// Checks that no caller gets a valid response that was changed by `make_odd`: a request that
     /// may have run is neither answered nor repeated, and an idempotent one goes to another server.
     auto check_not_passed_on(const std::string& id,
                              const std::function<std::string(std::string)>& make_odd) -> void
     {
-        auto respond_oddly = [&](fake_backend& self, received_request& request) {
+        auto respond_oddly = [this, make_odd](fake_backend& self, received_request& request) {
             auto bytes = make_odd(self.valid_response(request));
             closes_connection ? request.send_and_close(bytes) : request.send(bytes);
         };
