Take entries of unknown services for no proof of a server's end

Cause: the platform assigns an address again only after its process has ended, so backend_directory takes a later entry at a known address as proof of that end. It did not ask whether the entry is a server's. Under the id of a server such an entry took the server's place. An entry whose Version is missing or of another type counted as well-formed, with the same effect.

Change: the directory knows the services that configurations have named. Entries of other services are kept aside until one names them, so they neither add, change nor end a server. Version is required.

Why it works: the hook that frees keys and abandons attempts is reached only from entries that are applied, and all entries pass the same check. The other proof, a 421 that names another server, comes from the address itself.

--- a/gateway/backend_directory.cpp
+++ b/gateway/backend_directory.cpp
@@ -13,10 +13,27 @@
 
 } // namespace
 
+auto backend_directory::add_services(const std::set<service_id>& services) -> void
+{
+    services_.insert(services.begin(), services.end());
+    std::vector<unassigned_entry> assigned;
+    std::erase_if(unassigned_, [&](const auto& it) {
+        bool is_assigned = services_.contains(it.second.entry.service);
+        if (is_assigned) {
+            assigned.push_back(it.second);
+        }
+        return is_assigned;
+    });
+    for (const auto& it : assigned) {
+        apply_entry(it.entry, it.read_at);
+    }
+}
+
 auto backend_directory::apply(const std::string& id, const std::string& value, time_point now)
     -> void
 {
     if (value.empty()) {
+        unassigned_.erase(server_id{id});
         remove(id, now);
         return;
     }
@@ -31,6 +48,30 @@
         return;
     }
     auto& entry = decoded.value();
+    if (!services_.contains(entry.service)) {
+        keep_aside(std::move(entry), now);
+        return;
+    }
+    unassigned_.erase(entry.id);
+    apply_entry(entry, now);
+}
+
+auto backend_directory::keep_aside(backend_entry entry, time_point now) -> void
+{
+    auto [it, is_new] = unassigned_.try_emplace(entry.id);
+    // Before the first configuration all entries are kept aside.
+    if (is_new && !services_.empty()) {
+        log_.line("server-entry-unassigned")
+            .text("server", entry.id.value())
+            .text("service", entry.service.value())
+            .text("address", entry.address.to_text())
+            .number("incarnation", entry.incarnation.value());
+    }
+    it->second = {std::move(entry), now};
+}
+
+auto backend_directory::apply_entry(const backend_entry& entry, time_point now) -> void
+{
     auto known = servers_.find(entry.id);
     auto is_older = [&](server_incarnation incarnation, std::uint64_t sequence) {
         return entry.incarnation < incarnation ||
@@ -69,7 +110,7 @@
         (known->second.entry.cold_left > duration::zero()) != (entry.cold_left > duration::zero());
     if (is_logged) {
         log_.line("server-entry")
-            .text("server", id)
+            .text("server", entry.id.value())
             .text("service", entry.service.value())
             .text("server_zone", entry.zone.value())
             .text("address", entry.address.to_text())
--- a/gateway/backend_directory.h
+++ b/gateway/backend_directory.h
@@ -28,6 +28,10 @@
 };
 
 /// Backend servers that are registered in service discovery, and which of them may get requests.
+///
+/// Other writers may leave entries in service discovery too. An entry whose service no
+/// configuration has named may be one of these, so it is kept aside: it neither adds, changes nor
+/// ends a server.
 class backend_directory {
 public:
     /// Entries that expired during an outage of the store are written again within two seconds.
@@ -45,10 +49,14 @@
 
     explicit backend_directory(event_log& log) : log_{log} {}
 
-    /// `on_ended` receives each server whose process is known to have ended, because a process that
-    /// started later has registered the same address.
+    /// `on_ended` receives each server whose process is known to have ended, because a process of a
+    /// configured service that started later has registered the same address.
     auto set_on_ended(ended_callback on_ended) -> void { on_ended_ = std::move(on_ended); }
 
+    /// Adds services that a configuration names, and applies the entries that were kept aside for
+    /// them. Services that later configurations drop stay known, because their servers may still
+    /// run.
+    auto add_services(const std::set<service_id>& services) -> void;
     /// Applies the newest record of a server; an empty value removes the server.
     auto apply(const std::string& id, const std::string& value, time_point now) -> void;
     /// A server reported in a health check how long it stays cold.
@@ -80,7 +88,15 @@
     auto revision() const -> std::uint64_t { return revision_; }
 
 private:
+    struct unassigned_entry {
+        backend_entry entry;
+        time_point read_at{};
+    };
+
     auto is_evacuated(const backend_entry& it) const -> bool;
+    auto keep_aside(backend_entry entry, time_point now) -> void;
+    /// Applies an entry of a configured service that was read at `now`.
+    auto apply_entry(const backend_entry& entry, time_point now) -> void;
     auto remove(const std::string& id, time_point now) -> void;
     /// Removes the servers whose address `successor` has taken over.
     auto remove_replaced(const backend_entry& successor, time_point now) -> void;
@@ -89,6 +105,9 @@
     event_log& log_;
     ended_callback on_ended_;
     std::map<server_id, directory_server> servers_;
+    std::set<service_id> services_;
+    /// Newest entry of each id whose service no configuration has named yet.
+    std::map<server_id, unassigned_entry> unassigned_;
     server_notices notices_;
     /// Newest incarnation and sequence of each removed server, so that a late record of an earlier
     /// heartbeat does not add it again.
--- a/gateway/gateway_store.cpp
+++ b/gateway/gateway_store.cpp
@@ -98,7 +98,9 @@
     active->content = std::move(next);
     configuration_ = active;
     target_selection_.clear();
+    std::set<service_id> names;
     for (const auto& [name, service] : active->content.services) {
+        names.insert(name);
         auto& it = runtimes_[name];
         if (it) {
             it->configure(service);
@@ -123,6 +125,7 @@
             }
         }
     }
+    directory_.add_services(names);
     apply_assignments();
     update_servers(loop_.now());
     quotas_.configure(active->workspaces ? &active->workspaces->workspaces() : nullptr);
--- a/tests/gateway/backend_directory_test.cpp
+++ b/tests/gateway/backend_directory_test.cpp
@@ -14,15 +14,22 @@
     event_log log{time, -1, "i1", "z1"};
     backend_directory directory{log};
 
+    directory_fixture() { directory.add_services({service_id{"s"}}); }
+
     static auto entry(int sequence, std::int64_t born = 1000, const std::string& state = "ready",
                       const std::string& cold = "0ms") -> std::string
     {
-        return R"({"Addr":"127.0.0.1:1000","Info":{"Service":"s","Zone":"z1","Slots":2},)"
+        return R"({"Addr":"127.0.0.1:1000","Info":{"Service":"s","Version":"v1","Zone":"z1","Slots":2},)"
                R"("Status":{"State":")" +
                state + R"(","Seq":)" + std::to_string(sequence) + R"(,"ColdLeft":")" + cold +
                R"("},"born":)" + std::to_string(born) + "}";
     }
 
+    static auto of_service(std::string value, const std::string& service) -> std::string
+    {
+        return value.replace(value.find("\"s\""), 3, '"' + service + '"');
+    }
+
     auto apply(const std::string& value) -> void { directory.apply("a", value, time.now()); }
     auto server() const -> const directory_server* { return directory.find(server_id{"a"}); }
     auto schedulable(bool is_keyed = false) const -> schedulable_server
@@ -141,6 +148,58 @@
     BOOST_TEST(server() == nullptr);
 }
 
+BOOST_AUTO_TEST_SUITE(beside_entries_of_services_that_no_configuration_names)
+
+// Guards against the release of a live server's keys: such an entry proves no server's end.
+BOOST_AUTO_TEST_CASE(keeps_a_server_at_the_same_address)
+{
+    int ended = 0;
+    directory.set_on_ended([&](const service_id&, const server_id&, std::int64_t) { ++ended; });
+    apply(entry(5, 1000));
+    auto revision = directory.revision();
+    directory.apply("other", of_service(entry(1, 2000), "metrics"), time.now());
+    directory.apply("other", "", time.now());
+    BOOST_TEST(server() != nullptr);
+    BOOST_TEST(directory.size() == 1U);
+    BOOST_TEST(directory.revision() == revision);
+    BOOST_TEST(ended == 0);
+}
+
+// Guards against a server whose heartbeats are ignored because another writer's entry of the same
+// id has a later start.
+BOOST_AUTO_TEST_CASE(keeps_a_server_of_the_same_id)
+{
+    apply(entry(5, 1000));
+    apply(of_service(entry(1, 2000), "metrics"));
+    BOOST_TEST(server()->entry.service.value() == "s");
+    apply(entry(6, 1000, "draining"));
+    BOOST_TEST(server()->entry.is_draining);
+    directory.add_services({service_id{"metrics"}});
+    BOOST_TEST(server()->entry.service.value() == "s");
+}
+
+// Guards against servers of a new service that are missing until their next heartbeat, and against
+// requests to the server that had their address before.
+BOOST_AUTO_TEST_CASE(applies_them_once_a_configuration_names_the_service)
+{
+    std::string ended;
+    directory.set_on_ended(
+        [&](const service_id&, const server_id& id, std::int64_t) { ended = id.value(); });
+    apply(entry(5, 1000));
+    directory.apply("later", of_service(entry(1, 2000, "ready", "3s"), "new"), time.now());
+    directory.apply("gone", of_service(entry(1, 2000), "new"), time.now());
+    directory.apply("gone", "", time.now());
+    time.advance(seconds{1});
+    directory.add_services({service_id{"s"}, service_id{"new"}});
+    BOOST_TEST(ended == "a");
+    auto servers = directory.schedulable(service_id{"new"}, false, time.now());
+    BOOST_REQUIRE(servers.size() == 1U);
+    // The cold time counts from when the entry was read.
+    BOOST_TEST((servers[0].cold_until == time.now() + seconds{2}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against full load on servers that turned cold while their zone was evacuated, before a
 // heartbeat has reported it.
 BOOST_AUTO_TEST_CASE(presumes_the_servers_of_a_returning_zone_to_be_cold)
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -461,6 +461,36 @@
     run_until([&] { return status(call(request("/read/1", "r2"))) == "200"; });
 }
 
+// Guards against two holders of a key, and against attempts that are given up, after another writer
+// left an entry at the address of a live server. Only a process of a configured service proves that
+// the address has been assigned again.
+BOOST_AUTO_TEST_CASE(keeps_the_owner_and_the_attempts_at_an_address_that_an_odd_entry_names)
+{
+    start();
+    hold_plain_requests();
+    auto connection = connect();
+    connection->send(request("/write/1", "r1"));
+    run_until([&] { return waiting.size() == 1; });
+    auto odd_entry = [](const fake_backend& server) {
+        auto out = server.entry("unknown");
+        return out.replace(out.find("1700000000000"), 13, "1700000009000");
+    };
+    store.put("keyed.servers", "odd-1", odd_entry(k1));
+    store.put("keyed.servers", "odd-2", odd_entry(plain_server_1));
+    store.put("keyed.servers", "odd-3", odd_entry(plain_server_2));
+    run_for(milliseconds{1000});
+    auto& owner = fake_backend::header(waiting[0], "x-expect-instance") == "a" ? plain_server_1
+                                                                               : plain_server_2;
+    waiting[0].send(owner.valid_response(waiting[0]));
+    run_until([&] {
+        connection->receive();
+        return is_whole(connection->received);
+    });
+    BOOST_TEST(status(connection->received) == "200");
+    run_for(milliseconds{1000});
+    BOOST_TEST(!k2.holds_key(0));
+}
+
 BOOST_AUTO_TEST_CASE(ignores_entries_that_cannot_be_read)
 {
     start();
--- a/tests/platform/discovery_codec_test.cpp
+++ b/tests/platform/discovery_codec_test.cpp
@@ -55,8 +55,8 @@
 
 BOOST_AUTO_TEST_CASE(is_rejected_when_a_field_is_missing)
 {
-    for (const auto* field : {"\"Addr\"", "\"Service\"", "\"Zone\"", "\"Slots\"", "\"State\"",
-                              "\"Seq\"", "\"ColdLeft\"", "\"Info\"", "\"Status\""}) {
+    for (const auto* field : {"\"Addr\"", "\"Service\"", "\"Version\"", "\"Zone\"", "\"Slots\"",
+                              "\"State\"", "\"Seq\"", "\"ColdLeft\"", "\"Info\"", "\"Status\""}) {
         BOOST_TEST(
             decode_backend_entry("i-1", replaced(valid_entry, field, "\"other\"")).has_error());
     }
@@ -66,6 +66,7 @@
 {
     BOOST_TEST(decode_backend_entry("i-1", replaced(valid_entry, "\"Slots\":2", "\"Slots\":\"2\""))
                    .has_error());
+    BOOST_TEST(decode_backend_entry("i-1", replaced(valid_entry, "\"v1\"", "1")).has_error());
     BOOST_TEST(
         decode_backend_entry("i-1", replaced(valid_entry, "\"Seq\":4", "\"Seq\":[]")).has_error());
     BOOST_TEST(decode_backend_entry("i-1", replaced(valid_entry, "ready", "sleeping")).has_error());
