Keep the connections of peers that pause while they read

A server that paused for over 900 ms while it read a long body lost the rest, and the caller got 502.

Cause: TCP_USER_TIMEOUT, set to notice peers that are gone, also counts the time for which the peer's receive window is closed, although the peer acknowledges each probe. It stays in force after the gateway has closed the socket.

Change: tcp_stream checks its send queue by TCP_INFO while something is left in it. A closed window whose probes are answered lifts the time-out, for IdleTimeout at connections of callers; at connections to servers the deadline of the request ends the attempt. A socket that is closed with a send queue gets the longer time-out. Links between instances, control calls and the store keep theirs.

Why it works: probes are answered by a peer that is alive and by no other. Bytes on their way without an acknowledgement count as before.

--- a/adapters/h2o/tcp_stream.h
+++ b/adapters/h2o/tcp_stream.h
@@ -25,13 +25,17 @@
 /// Socket options of a connection.
 struct stream_options {
     /// Time that sent bytes may stay unacknowledged before the connection fails (TCP_USER_TIMEOUT);
-    /// zero leaves the default of the system.
+    /// zero leaves the default of the system. The kernel also counts the time for which the peer's
+    /// receive window is closed.
     std::chrono::milliseconds unacknowledged_timeout{0};
     /// Idle time before keep-alive probes start; zero sends none.
     std::chrono::seconds keepalive_idle{0};
     /// Size of the kernel's receive buffer in bytes; zero leaves the default of the system, which
     /// grows to several megabytes.
     int receive_buffer{0};
+    /// Time for which `unacknowledged_timeout` does not apply while a peer that is alive leaves its
+    /// receive window closed. Zero applies it at once.
+    std::chrono::milliseconds closed_window_timeout{0};
 };
 
 /// One TCP connection with a buffered writer. Used only on the event loop's thread.
@@ -48,7 +52,7 @@
     using connect_handler = std::function<void(std::unique_ptr<tcp_stream>)>;
 
     /// Takes over an accepted or connected socket.
-    tcp_stream(st_h2o_socket_t* socket, const stream_options& options);
+    tcp_stream(event_loop& loop, st_h2o_socket_t* socket, const stream_options& options);
     tcp_stream(const tcp_stream&) = delete;
     auto operator=(const tcp_stream&) -> tcp_stream& = delete;
     /// Closes the connection.
--- a/gateway/gateway_callers.cpp
+++ b/gateway/gateway_callers.cpp
@@ -15,9 +15,10 @@
 /// Pause between two searches for memory to free when the first one found none.
 constexpr duration memory_search_interval = milliseconds{50};
 
-auto caller_stream_options() -> stream_options
+auto caller_stream_options(const caller_limits& limits) -> stream_options
 {
-    return {milliseconds{5000}, seconds{5}, 0};
+    return {milliseconds{5000}, seconds{5}, 0,
+            std::chrono::duration_cast<milliseconds>(limits.idle_timeout)};
 }
 
 /// A quarter of the descriptors is left for connections to servers, peers and the store.
@@ -31,7 +32,7 @@
 auto gateway::accept_caller(st_h2o_socket_t* socket) -> void
 {
     auto limits = configuration_ ? configuration_->content.limits : caller_limits{};
-    auto stream = std::make_unique<tcp_stream>(socket, caller_stream_options());
+    auto stream = std::make_unique<tcp_stream>(loop_, socket, caller_stream_options(limits));
     if (settings_.max_descriptors > 0 && open_callers_ >= max_callers(settings_.max_descriptors) &&
         !close_one_caller()) {
         metrics_.count("callers_refused_total");
--- a/gateway/peer_mesh.cpp
+++ b/gateway/peer_mesh.cpp
@@ -251,8 +251,8 @@
 {
     auto it = std::make_shared<session>();
     it->source = admission_source{++last_source_};
-    it->link =
-        std::make_unique<peer_link>(loop_, std::make_unique<tcp_stream>(socket, session_options));
+    it->link = std::make_unique<peer_link>(
+        loop_, std::make_unique<tcp_stream>(loop_, socket, session_options));
     auto source = it->source;
     sessions_.emplace(source, it);
     peer_link::handlers handlers;
--- a/gateway/server_pool.h
+++ b/gateway/server_pool.h
@@ -75,9 +75,11 @@
         /// the connection is closed when the body exceeds them.
         std::size_t max_rejection_bytes{64 * 1024};
         duration rejection_timeout{std::chrono::milliseconds{100}};
-        /// The connection fails when sent bytes stay unacknowledged for longer than this.
-        /// The receive buffer bounds what the kernel holds for a response that is not read.
-        stream_options stream{std::chrono::milliseconds{900}, std::chrono::seconds{2}, 128 * 1024};
+        /// A connection fails early when its server is gone, but not while the server pauses in a
+        /// request body that it reads; then the request's deadline ends the attempt. The receive
+        /// buffer bounds what the kernel holds for a response that is not read.
+        stream_options stream{std::chrono::milliseconds{900}, std::chrono::seconds{2}, 128 * 1024,
+                              std::chrono::milliseconds{60'000}};
     };
     /// Totals since the start of the process.
     struct counters {
--- a/gateway/status_server.cpp
+++ b/gateway/status_server.cpp
@@ -44,7 +44,7 @@
 
 auto status_server::accept(st_h2o_socket_t* socket) -> void
 {
-    auto stream = std::make_unique<tcp_stream>(socket, stream_options{});
+    auto stream = std::make_unique<tcp_stream>(loop_, socket, stream_options{});
     if (clients_.size() >= max_clients) {
         return;
     }
--- a/tests/adapters/tcp_stream_test.cpp
+++ b/tests/adapters/tcp_stream_test.cpp
@@ -127,5 +127,56 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// A stream whose peer stops reading, with a time-out for unacknowledged bytes.
+struct closed_window_fixture : loop_fixture {
+    auto connect(std::chrono::milliseconds closed_window_timeout) -> void
+    {
+        stream_options options;
+        options.unacknowledged_timeout = std::chrono::milliseconds{200};
+        options.closed_window_timeout = closed_window_timeout;
+        tcp_stream::connect(loop, listener.address(), options, std::chrono::seconds{1},
+                            [this](std::unique_ptr<tcp_stream> made) { it = std::move(made); });
+        run_until([&] { return it != nullptr; });
+        peer = listener.accept();
+        tcp_stream::handlers receivers;
+        receivers.on_end = [this](stream_end reason) { end = reason; };
+        it->start(std::move(receivers));
+        it->write(std::string(size, 'x'));
+    }
+
+    static constexpr std::size_t size = std::size_t{16} << 20U;
+    raw_listener listener;
+    std::unique_ptr<tcp_stream> it;
+    std::unique_ptr<raw_connection> peer;
+    std::optional<stream_end> end;
+};
+
+BOOST_AUTO_TEST_SUITE(a_tcp_stream)
+
+BOOST_FIXTURE_TEST_SUITE(whose_peer_closes_its_window, closed_window_fixture)
+
+// Guards against a peer that loses bytes because it pauses for longer than a peer that is gone may
+// stay silent.
+BOOST_AUTO_TEST_CASE(delivers_all_when_the_peer_reads_again)
+{
+    connect(std::chrono::seconds{20});
+    run_for(std::chrono::milliseconds{1500});
+    BOOST_TEST(!end.has_value());
+    run_until([&] { return !peer->receive() || peer->received.size() == size; });
+    BOOST_TEST(peer->received.size() == size);
+}
+
+// Guards against a peer that holds the unsent bytes for as long as it likes.
+BOOST_AUTO_TEST_CASE(fails_when_the_peer_never_reads_again)
+{
+    connect(std::chrono::milliseconds{600});
+    run_until([&] { return end.has_value(); });
+    BOOST_CHECK(*end == stream_end::failed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 } // namespace cornelswitch
--- a/tests/gateway/fake_http_server.h
+++ b/tests/gateway/fake_http_server.h
@@ -65,7 +65,7 @@
         ++accepted_;
         auto added = std::make_shared<connection>();
         auto* raw = added.get();
-        added->stream = std::make_unique<tcp_stream>(socket, stream_options{});
+        added->stream = std::make_unique<tcp_stream>(loop_, socket, stream_options{});
         http1_parser::handlers handlers;
         handlers.on_head = [raw](http1_head head) { raw->head = std::move(head); };
         handlers.on_body = [raw](std::string_view bytes) { raw->body.append(bytes); };
--- a/tests/gateway/store_replicator_test.cpp
+++ b/tests/gateway/store_replicator_test.cpp
@@ -29,7 +29,7 @@
     auto accept(st_h2o_socket_t* socket) -> void
     {
         links_.push_back(std::make_unique<peer_link>(
-            loop_, std::make_unique<tcp_stream>(socket, stream_options{})));
+            loop_, std::make_unique<tcp_stream>(loop_, socket, stream_options{})));
         auto* link = links_.back().get();
         peer_link::handlers handlers;
         handlers.on_message = [this, link](const peer_message& message) {
