--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -90,6 +90,20 @@
         run_until([&] { return ready() && k1.holds_key(0) && k2.holds_key(65'535); });
     }
 
+    /// Starts the gateway with `server` as the only unkeyed server, and waits until it is ready. A
+    /// route of the given name has no time-out, so that a slow machine does not end its requests.
+    auto start_with(const std::string& route, const endpoint& server) -> void
+    {
+        auto entry = plain_server_1.entry("plain");
+        auto own = plain_server_1.address().to_text();
+        entry.replace(entry.find(own), own.size(), server.to_text());
+        store.put("keyed.op", "config",
+                  configuration(1, "," + route_text(route, "plain", "non_idempotent", "")));
+        store.put("keyed.servers", "a", entry);
+        start_empty();
+        run_until([&] { return ready(); });
+    }
+
     /// Starts the gateway with an empty store.
     auto start_empty() -> void
     {
--- a/tests/gateway/slow_reader_test.cpp
+++ b/tests/gateway/slow_reader_test.cpp
@@ -7,22 +7,7 @@
 
 using namespace test;
 
-/// A gateway with a route without a time-out. One server of it reads only when a test says so.
 struct slow_reader_fixture : gateway_fixture {
-    auto start_with_slow_route() -> void
-    {
-        auto entry = plain_server_1.entry("plain");
-        auto own = plain_server_1.address().to_text();
-        if (is_server_slow) {
-            entry.replace(entry.find(own), own.size(), slow_server.address().to_text());
-        }
-        auto route = route_text("slow", "plain", "non_idempotent", "");
-        store.put("keyed.op", "config", configuration(1, "," + route));
-        store.put("keyed.servers", "a", entry);
-        start_empty();
-        run_until([&] { return ready(); });
-    }
-
     static auto slow_request(std::size_t body_size, const std::string& headers = "") -> std::string
     {
         return "POST /slow/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 20000\r\n" +
@@ -34,7 +19,7 @@
     /// The pause is longer than a caller that is gone may stay silent.
     auto call_with_pause(const std::string& headers) -> std::string
     {
-        start_with_slow_route();
+        start_with("slow", plain_server_1.address());
         plain_server_1.handle_request = [](fake_backend& self, received_request& request) {
             request.send(self.valid_response(request, std::string(response_size, 'y')));
         };
@@ -48,8 +33,6 @@
 
     /// The kernel takes all of it at once.
     static constexpr std::size_t response_size = 30'000;
-    bool is_server_slow{false};
-    raw_listener slow_server;
 };
 
 BOOST_AUTO_TEST_SUITE(a_gateway)
@@ -74,8 +57,8 @@
 BOOST_AUTO_TEST_CASE(delivers_the_rest_of_a_body_to_a_server)
 {
     constexpr std::size_t body_size = 12'000'000;
-    is_server_slow = true;
-    start_with_slow_route();
+    raw_listener slow_server;
+    start_with("slow", slow_server.address());
     auto caller = connect();
     auto rest = slow_request(body_size);
     std::unique_ptr<raw_connection> server;
--- a/tests/gateway/truncated_response_test.cpp
+++ b/tests/gateway/truncated_response_test.cpp
@@ -10,19 +10,6 @@
 /// A gateway whose only unkeyed server responds as soon as it has the head of a request. The
 /// server reads no bodies, so the gateway is still writing when the response arrives.
 struct early_response_fixture : gateway_fixture {
-    auto start_with_early_server() -> void
-    {
-        auto entry = plain_server_1.entry("plain");
-        auto own = plain_server_1.address().to_text();
-        entry.replace(entry.find(own), own.size(), server.address().to_text());
-        // No time-out, so that a slow machine does not end the upload.
-        auto route = route_text("upload", "plain", "non_idempotent", "");
-        store.put("keyed.op", "config", configuration(1, "," + route));
-        store.put("keyed.servers", "a", entry);
-        start_empty();
-        run_until([&] { return ready(); });
-    }
-
     /// Uploads more than the kernel's buffers take. The server sends `body` behind a head that has
     /// the header lines `headers`, and `end` ends its connection once the gateway has had time to
     /// read the response. Returns what the caller gets.
@@ -67,7 +54,7 @@
 // end.
 BOOST_AUTO_TEST_CASE(does_not_pass_on_a_response_whose_connection_was_reset)
 {
-    start_with_early_server();
+    start_with("upload", server.address());
     auto response = upload("", "part", [](raw_connection& it) { it.reset(); });
     BOOST_TEST(status(response) == "502");
     BOOST_TEST(response.find("part") == std::string::npos);
@@ -76,7 +63,7 @@
 // The same for a response that is too long to be held back until it is complete.
 BOOST_AUTO_TEST_CASE(does_not_end_a_long_response_whose_connection_was_reset)
 {
-    start_with_early_server();
+    start_with("upload", server.address());
     auto response = upload("", std::string(100'000, 'x'), [](raw_connection& it) { it.reset(); });
     BOOST_TEST(status(response) == "200");
     BOOST_TEST(response.find("transfer-encoding: chunked") != std::string::npos);
@@ -86,7 +73,7 @@
 // Guards against a check for resets that also rejects responses of servers that stop reading.
 BOOST_AUTO_TEST_CASE(passes_on_a_response_whose_connection_ended_in_order)
 {
-    start_with_early_server();
+    start_with("upload", server.address());
     auto response = upload("", "whole", [](raw_connection& it) { it.finish_sending(); });
     BOOST_TEST(status(response) == "200");
     BOOST_TEST(response.ends_with("whole"));
@@ -94,7 +81,7 @@
 
 BOOST_AUTO_TEST_CASE(passes_on_a_response_with_a_length_before_a_reset)
 {
-    start_with_early_server();
+    start_with("upload", server.address());
     auto response =
         upload("content-length: 5\r\n", "whole", [](raw_connection& it) { it.reset(); });
     BOOST_TEST(status(response) == "200");
