Move the check of closed windows out of tcp_stream

The check has state of its own (timer, time of closing, whether the time-out is lifted), which closed_window_monitor now holds; tcp_stream tells it of writes and of the close. The options of connections to callers and servers are named.

--- a/adapters/h2o/socket_address.cpp
+++ b/adapters/h2o/socket_address.cpp
@@ -91,4 +91,10 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+auto set_unacknowledged_timeout(int fd, std::chrono::milliseconds timeout) -> void
+{
+    auto ms = static_cast<int>(timeout.count());
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 } // namespace cornelswitch
--- a/adapters/h2o/socket_address.h
+++ b/adapters/h2o/socket_address.h
@@ -5,6 +5,7 @@
 
 #include <sys/socket.h>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -44,4 +45,7 @@
 /// Sets TCP_NODELAY: messages are written as a whole, so Nagle's algorithm would only add latency.
 auto disable_send_delay(int fd) -> void;
 
+/// Sets TCP_USER_TIMEOUT; zero restores the default of the system.
+auto set_unacknowledged_timeout(int fd, std::chrono::milliseconds timeout) -> void;
+
 } // namespace cornelswitch
--- a/adapters/h2o/tcp_stream.cpp
+++ b/adapters/h2o/tcp_stream.cpp
@@ -1,7 +1,7 @@
 #include "adapters/h2o/tcp_stream.h"
 
+#include "adapters/h2o/closed_window_monitor.h"
 #include "adapters/h2o/connector.h"
-#include "adapters/h2o/send_queue.h"
 #include "adapters/h2o/socket_address.h"
 
 #include <h2o.h>
@@ -32,12 +32,6 @@
     (void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
-/// Zero restores the default of the system.
-auto set_unacknowledged_timeout(int fd, std::chrono::milliseconds timeout) -> void
-{
-    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
-}
-
 auto apply(int fd, const stream_options& options) -> void
 {
     disable_send_delay(fd);
@@ -58,15 +52,19 @@
 } // namespace
 
 struct tcp_stream::state : std::enable_shared_from_this<tcp_stream::state> {
-    state(event_loop& owner, h2o_socket_t* taken, const stream_options& settings)
-        : loop{owner}, socket{taken}, options{settings}
+    state(event_loop& loop, h2o_socket_t* taken, const stream_options& options) : socket{taken}
     {
-        apply(h2o_socket_get_fd(socket), options);
+        int fd = h2o_socket_get_fd(socket);
+        apply(fd, options);
+        if (options.closed_window_timeout.count() > 0) {
+            window_monitor.emplace(loop, fd,
+                                   closed_window_monitor::timeouts{options.unacknowledged_timeout,
+                                                                   options.closed_window_timeout});
+        }
     }
 
-    event_loop& loop;
     h2o_socket_t* socket;
-    stream_options options;
+    std::optional<closed_window_monitor> window_monitor;
     handlers receivers;
     std::string in_flight;
     /// Number of bytes at the start of `in_flight` that have been handed to the kernel.
@@ -78,53 +76,6 @@
     bool has_failed{false};
     bool closes_after_write{false};
     bool shuts_down_after_write{false};
-    event_loop::timer_id send_queue_timer{0};
-    /// Since when the peer has left its receive window closed.
-    std::optional<time_point> window_closed_at;
-    bool is_timeout_lifted{false};
-
-    /// Checks the send queue until it is empty, often enough that the kernel's timeout cannot
-    /// expire between two checks.
-    auto watch_send_queue() -> void
-    {
-        bool is_watched = options.closed_window_timeout.count() > 0;
-        if (!is_watched || socket == nullptr || send_queue_timer != 0) {
-            return;
-        }
-        send_queue_timer =
-            loop.schedule(options.unacknowledged_timeout / 2, [weak = weak_from_this()] {
-                if (auto self = weak.lock()) {
-                    self->send_queue_timer = 0;
-                    self->check_send_queue();
-                }
-            });
-    }
-
-    /// The kernel's timeout cannot tell a peer that does not read from one that is gone, so it is
-    /// lifted for the former.
-    auto check_send_queue() -> void
-    {
-        auto queue = read_send_queue(h2o_socket_get_fd(socket));
-        if (!queue) {
-            return;
-        }
-        if (!queue->waits_for_reader()) {
-            window_closed_at.reset();
-        } else if (!window_closed_at) {
-            window_closed_at = loop.now();
-        }
-        bool lifts =
-            window_closed_at && loop.now() - *window_closed_at < options.closed_window_timeout;
-        if (lifts != is_timeout_lifted) {
-            is_timeout_lifted = lifts;
-            set_unacknowledged_timeout(h2o_socket_get_fd(socket),
-                                       lifts ? std::chrono::milliseconds{0}
-                                             : options.unacknowledged_timeout);
-        }
-        if (!queue->is_empty()) {
-            watch_send_queue();
-        }
-    }
 
     auto shut_down_sending() -> void
     {
@@ -142,7 +93,9 @@
         pending.clear();
         sent = 0;
         is_write_active = true;
-        watch_send_queue();
+        if (window_monitor) {
+            window_monitor->on_write();
+        }
         send_in_flight();
     }
 
@@ -198,10 +151,8 @@
     auto close_socket() -> void
     {
         if (auto* it = std::exchange(socket, nullptr)) {
-            if (send_queue_timer != 0) {
-                loop.cancel(std::exchange(send_queue_timer, 0));
-                // The kernel still delivers what is in the send queue, which is no longer watched.
-                set_unacknowledged_timeout(h2o_socket_get_fd(it), options.closed_window_timeout);
+            if (window_monitor) {
+                window_monitor->on_close();
             }
             it->data = nullptr;
             h2o_socket_read_stop(it);
--- a/gateway/gateway_callers.cpp
+++ b/gateway/gateway_callers.cpp
@@ -17,8 +17,9 @@
 
 auto caller_stream_options(const caller_limits& limits) -> stream_options
 {
-    return {milliseconds{5000}, seconds{5}, 0,
-            std::chrono::duration_cast<milliseconds>(limits.idle_timeout)};
+    return {.unacknowledged_timeout = milliseconds{5000},
+            .keepalive_idle = seconds{5},
+            .closed_window_timeout = std::chrono::duration_cast<milliseconds>(limits.idle_timeout)};
 }
 
 /// A quarter of the descriptors is left for connections to servers, peers and the store.
--- a/gateway/server_pool.h
+++ b/gateway/server_pool.h
@@ -78,8 +78,10 @@
         /// A connection fails early when its server is gone, but not while the server pauses in a
         /// request body that it reads; then the request's deadline ends the attempt. The receive
         /// buffer bounds what the kernel holds for a response that is not read.
-        stream_options stream{std::chrono::milliseconds{900}, std::chrono::seconds{2}, 128 * 1024,
-                              std::chrono::milliseconds{60'000}};
+        stream_options stream{.unacknowledged_timeout = std::chrono::milliseconds{900},
+                              .keepalive_idle = std::chrono::seconds{2},
+                              .receive_buffer = 128 * 1024,
+                              .closed_window_timeout = std::chrono::seconds{60}};
     };
     /// Totals since the start of the process.
     struct counters {
