--- a/adapters/h2o/closed_window_monitor.h
+++ b/adapters/h2o/closed_window_monitor.h
@@ -3,7 +3,6 @@
 #include "adapters/h2o/event_loop.h"
 
 #include <chrono>
-#include <memory>
 #include <optional>
 
 namespace cornelswitch {
