--- a/review/standin-3/net.h
+++ b/review/standin-3/net.h
@@ -97,11 +97,12 @@
         pollfd it{fd_, POLLIN | POLLRDHUP, 0};
         return ::poll(&it, 1, 0) > 0 && (it.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
+    /// Sends a reset: a connection without an address is aborted.
     auto reset() const -> void
     {
-        linger immediate{1, 0};
-        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
-        ::shutdown(fd_, SHUT_RDWR);
+        sockaddr none{};
+        none.sa_family = AF_UNSPEC;
+        ::connect(fd_, &none, sizeof(none));
     }
     auto end() const -> void { ::shutdown(fd_, SHUT_RDWR); }
 
