--- a/review/standin-3/case.h
+++ b/review/standin-3/case.hh
@@ -2,7 +2,7 @@
 
 // What all cases of this review share: the record, a backend server, and the process under test.
 
-#include "store.h"
+#include "store.hh"
 
 #include <sys/prctl.h>
 #include <sys/types.h>
@@ -96,7 +96,7 @@
 class gateway {
 public:
     gateway(const std::filesystem::path& folder, const std::string& store_address,
-            int memory_mb = 260)
+            int memory_mb = 260, int max_descriptors = 4100)
         : folder_{folder}, front_{free_port()}, ready_{free_port()}
     {
         std::uint16_t peer = free_port();
@@ -107,7 +107,7 @@
             << "Listen.Front=127.0.0.1:" << front_ << "\nListen.Ready=127.0.0.1:" << ready_
             << "\nPortRange=" << peer << ',' << peer + 1 << "\nBootstrap=true\n"
             << "Limits.CpuShare=0.2\nLimits.Cores=1\nLimits.MemoryMb=" << memory_mb
-            << "\nLimits.MaxFds=4100\n"
+            << "\nLimits.MaxFds=" << max_descriptors << "\n"
                "Discovery=platform\nEntry=vip\nBeatInterval=870ms\nBounds.StableWindow=3000ms\n"
                "Bounds.Drain=2000ms\nBounds.Grace=6s\nBounds.LossSlack=200ms\n"
                "Bounds.ConfigApply=2000ms\nBounds.RetryBudgetRatio=0.2\nBounds.BudgetWindow=10s\n"
--- a/review/standin-3/large_failure.cpp
+++ b/review/standin-3/large_failure.cc
@@ -2,7 +2,7 @@
 // X-Not-Executed. The gateway turns a short answer of this kind into 502, but passes on one that is
 // longer than what it keeps back: 32 KiB, or 4 KiB while large bodies fill its memory.
 
-#include "case.h"
+#include "case.hh"
 
 using namespace review;
 
@@ -15,10 +15,32 @@
     record& lines;
     std::uint16_t port;
     std::mutex mutex;
+    /// By request id.
     std::map<std::string, int> runs;
+    /// By the lot that is to be reserved.
+    std::map<std::string, int> reservations;
     std::map<std::string, std::pair<int, std::size_t>> answers;
 
-    /// Sends requests of 4 clients at a time to a route that may run a request once only.
+    /// Sends one reservation and returns the status of its answer, 0 for none.
+    auto reserve(const std::string& id, const std::string& lot, int size) -> int
+    {
+        auto it = connect_to(port);
+        std::string input;
+        if (!it ||
+            !it->send(client_request("POST", "/book/" + std::to_string(size), id, 2500, lot))) {
+            return 0;
+        }
+        auto answer = read_message(*it, input, milliseconds{3500});
+        if (!answer) {
+            return 0;
+        }
+        std::lock_guard lock{mutex};
+        answers[id] = {answer->status(), answer->body.size()};
+        return answer->status();
+    }
+
+    /// Sends reservations of 4 clients at a time. After a promise that a request has not run, the client
+    /// sends it once more, as a request of its own.
     auto run(const std::string& name, const std::vector<int>& sizes, int rounds) -> void
     {
         std::vector<std::thread> clients;
@@ -27,16 +49,8 @@
                 for (int n = 0; n < rounds; ++n) {
                     auto id = name + std::to_string(client) + "-" + std::to_string(n);
                     auto size = sizes[static_cast<std::size_t>(n) % sizes.size()];
-                    auto it = connect_to(port);
-                    std::string input;
-                    if (!it || !it->send(client_request("POST", "/book/" + std::to_string(size), id,
-                                                        2500, "lot 17"))) {
-                        continue;
-                    }
-                    auto answer = read_message(*it, input, milliseconds{3500});
-                    std::lock_guard lock{mutex};
-                    if (answer) {
-                        answers[id] = {answer->status(), answer->body.size()};
+                    if (reserve(id, "lot " + id, size) == 503) {
+                        reserve(id + "-again", "lot " + id, size);
                     }
                 }
             });
@@ -67,6 +81,10 @@
         for (const auto& [text, count] : sums) {
             lines.line(text + ": " + std::to_string(count));
         }
+        auto twice = std::count_if(reservations.begin(), reservations.end(),
+                                   [](const auto& it) { return it.second > 1; });
+        lines.line("lots that were reserved twice, as their clients believed the answer: " +
+                   std::to_string(twice));
         return is_broken;
     }
 };
@@ -78,7 +96,7 @@
     return run_case(argc, argv, [](record& lines, const std::filesystem::path& folder) {
         // Not destroyed: their threads wait for bytes until the process ends.
         auto& platform = *new store;
-        auto& sent = *new traffic{lines, 0, {}, {}, {}};
+        auto& sent = *new traffic{lines, 0, {}, {}, {}, {}};
         std::atomic<int> count{0};
         std::atomic<bool> is_grey{false};
         auto handle = [&](const backend& self, const http_message& request, const tcp_socket& to) {
@@ -90,6 +108,7 @@
             {
                 std::lock_guard lock{sent.mutex};
                 ++sent.runs[id];
+                ++sent.reservations[request.body];
             }
             std::this_thread::sleep_for(milliseconds{30});
             auto size = std::stoul(request.target().substr(request.target().rfind('/') + 1));
--- a/review/standin-3/net.h
+++ b/review/standin-3/net.hh
@@ -110,13 +110,16 @@
     int fd_;
 };
 
-/// `receive_buffer` bounds what the kernel takes for a client that reads slowly.
+/// `receive_buffer` bounds what the kernel takes for a client that reads slowly. Its segments are then as
+/// small as on Ethernet: those of the loopback device would let the sender's kernel take megabytes.
 inline auto connect_to(std::uint16_t port, int receive_buffer = 0) -> std::shared_ptr<tcp_socket>
 {
+    constexpr int ethernet_segment = 1460;
     int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     auto to = loopback(port);
     if (receive_buffer > 0) {
         setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
+        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &ethernet_segment, sizeof(ethernet_segment));
     }
     if (fd < 0 || ::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to)) != 0) {
         ::close(fd);
--- a/review/standin-3/store.h
+++ b/review/standin-3/store.hh
@@ -3,7 +3,7 @@
 // Stand-in of the platform's metadata store (PROTOCOL.md): topics with one record log for each
 // partition, the newest records of keyed topics, and one group whose partitions are dealt evenly.
 
-#include "net.h"
+#include "net.hh"
 
 #include <condition_variable>
 #include <list>
