Do not count the pauses of a slow reader together

Cause: TCP_USER_TIMEOUT. For a closed receive window the kernel measures it from the first probe, and that start stays when the window opens by less than the next segment, as with a small receive buffer. The first probe of a later pause then finds the time-out exceeded. closed_window_monitor lifted the option only 2.5 s after a write.

Change: where TCP_INFO is usable, the option is not set. delivery_monitor reads the send queue while it is not empty, and delivery_progress decides from the acknowledged bytes: only a stretch without progress counts. Segments on their way and unanswered probes keep the short time-out, so a peer that is gone is still noticed.

The same cause was looked for on all connections. It acts on connections to servers (a body is lost, 502), between instances in both directions, in calls for keys and health and to the store, and on a socket that is closed behind its last response. All of them use tcp_stream and have the monitor now; the time-out set at a close covers the age of the connection. Waiting for bytes of a silent peer is not affected: keep-alive ends it at one unanswered probe, as before. cornelswitchd and the status pages do not set the option.

Conclusion: a pause counts by itself on every kind of connection.

--- a/adapters/h2o/send_queue.cpp
+++ b/adapters/h2o/send_queue.cpp
@@ -36,10 +36,16 @@
         size < offsetof(tcp_info, tcpi_notsent_bytes) + sizeof(info.tcpi_notsent_bytes)) {
         return std::nullopt;
     }
+    // Every connected socket has received a segment. An emulated network stack may fill in the
+    // structure without counting anything.
+    if (info.tcpi_segs_in == 0) {
+        return std::nullopt;
+    }
     send_queue out;
     out.unacknowledged_segments = info.tcpi_unacked;
     out.unsent_bytes = info.tcpi_notsent_bytes;
     out.unanswered_probes = info.tcpi_probes;
+    out.acknowledged_bytes = info.tcpi_bytes_acked;
     // Older kernels do not report the window.
     bool has_window = size >= offsetof(tcp_info, tcpi_snd_wnd) + sizeof(info.tcpi_snd_wnd);
     out.is_window_zero = has_window && info.tcpi_snd_wnd == 0;
--- a/adapters/h2o/tcp_stream.cpp
+++ b/adapters/h2o/tcp_stream.cpp
@@ -1,7 +1,7 @@
 #include "adapters/h2o/tcp_stream.h"
 
-#include "adapters/h2o/closed_window_monitor.h"
 #include "adapters/h2o/connector.h"
+#include "adapters/h2o/delivery_monitor.h"
 #include "adapters/h2o/socket_address.h"
 
 #include <h2o.h>
@@ -22,7 +22,9 @@
 namespace {
 
 /// Unacknowledged keep-alive probes after which the kernel closes a connection.
-constexpr int keepalive_probes = 2;
+constexpr int keepalive_probes = 1;
+/// The same where TCP_USER_TIMEOUT is set, which ends the connection earlier.
+constexpr int keepalive_probes_beside_timeout = 2;
 constexpr int keepalive_interval_s = 1;
 constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
 
@@ -32,12 +34,9 @@
     (void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
-auto apply(int fd, const stream_options& options) -> void
+auto apply(int fd, const stream_options& options, bool has_kernel_timeout) -> void
 {
     disable_send_delay(fd);
-    if (options.unacknowledged_timeout.count() > 0) {
-        set_unacknowledged_timeout(fd, options.unacknowledged_timeout);
-    }
     if (options.receive_buffer > 0) {
         set_option(fd, SOL_SOCKET, SO_RCVBUF, options.receive_buffer);
     }
@@ -45,7 +44,8 @@
         set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
         set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(options.keepalive_idle.count()));
         set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
-        set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+        set_option(fd, IPPROTO_TCP, TCP_KEEPCNT,
+                   has_kernel_timeout ? keepalive_probes_beside_timeout : keepalive_probes);
     }
 }
 
@@ -55,16 +55,17 @@
     state(event_loop& loop, h2o_socket_t* taken, const stream_options& options) : socket{taken}
     {
         int fd = h2o_socket_get_fd(socket);
-        apply(fd, options);
-        if (options.closed_window_timeout.count() > 0) {
-            window_monitor.emplace(loop, fd,
-                                   closed_window_monitor::timeouts{options.unacknowledged_timeout,
-                                                                   options.closed_window_timeout});
+        if (options.unacknowledged_timeout.count() > 0) {
+            monitor.emplace(loop, fd,
+                            delivery_monitor::timeouts{options.unacknowledged_timeout,
+                                                       options.closed_window_timeout},
+                            [this] { on_peer_lost(); });
         }
+        apply(fd, options, monitor && !monitor->replaces_kernel_timeout());
     }
 
     h2o_socket_t* socket;
-    std::optional<closed_window_monitor> window_monitor;
+    std::optional<delivery_monitor> monitor;
     handlers receivers;
     std::string in_flight;
     /// Number of bytes at the start of `in_flight` that have been handed to the kernel.
@@ -93,9 +94,6 @@
         pending.clear();
         sent = 0;
         is_write_active = true;
-        if (window_monitor) {
-            window_monitor->on_write();
-        }
         send_in_flight();
     }
 
@@ -103,6 +101,9 @@
     /// makes h2o call `on_written` or `on_write_failed` in this iteration of the event loop.
     auto send_in_flight() -> void
     {
+        if (monitor) {
+            monitor->on_write();
+        }
         ssize_t n = -1;
         do {
             n = ::send(h2o_socket_get_fd(socket), in_flight.data() + sent, in_flight.size() - sent,
@@ -122,6 +123,24 @@
         }
     }
 
+    /// Makes the kernel discard its send queue when the socket is closed.
+    auto reset_on_close() const -> void
+    {
+        linger immediate{1, 0};
+        (void)setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &immediate,
+                         sizeof(immediate));
+    }
+
+    auto on_peer_lost() -> void
+    {
+        if (socket != nullptr) {
+            auto self = shared_from_this();
+            has_failed = true;
+            reset_on_close();
+            end_after_write_failure();
+        }
+    }
+
     /// Delivers the bytes that arrived before a write failed, such as an early response, and ends.
     auto end_after_write_failure() -> void
     {
@@ -151,8 +170,8 @@
     auto close_socket() -> void
     {
         if (auto* it = std::exchange(socket, nullptr)) {
-            if (window_monitor) {
-                window_monitor->on_close();
+            if (monitor) {
+                monitor->on_close();
             }
             it->data = nullptr;
             h2o_socket_read_stop(it);
@@ -347,9 +366,7 @@
 auto tcp_stream::abort() -> void
 {
     if (state_->socket != nullptr) {
-        linger immediate{1, 0};
-        (void)setsockopt(h2o_socket_get_fd(state_->socket), SOL_SOCKET, SO_LINGER, &immediate,
-                         sizeof(immediate));
+        state_->reset_on_close();
     }
     close();
 }
--- a/adapters/h2o/tcp_stream.h
+++ b/adapters/h2o/tcp_stream.h
@@ -24,17 +24,16 @@
 
 /// Socket options of a connection.
 struct stream_options {
-    /// Time that sent bytes may stay unacknowledged before the connection fails (TCP_USER_TIMEOUT);
-    /// zero leaves the default of the system. The kernel also counts the time for which the peer's
-    /// receive window is closed.
+    /// Time that sent bytes may stay unacknowledged before the connection fails; zero leaves the
+    /// default of the system.
     std::chrono::milliseconds unacknowledged_timeout{0};
     /// Idle time before keep-alive probes start; zero sends none.
     std::chrono::seconds keepalive_idle{0};
     /// Size of the kernel's receive buffer in bytes; zero leaves the default of the system, which
     /// grows to several megabytes.
     int receive_buffer{0};
-    /// Time for which `unacknowledged_timeout` does not apply while a peer that is alive leaves its
-    /// receive window closed. Zero applies it at once.
+    /// Time for which a peer that is alive may leave its receive window closed before the
+    /// connection fails; at least `unacknowledged_timeout` applies.
     std::chrono::milliseconds closed_window_timeout{0};
 };
 
--- a/tests/adapters/raw_connection.h
+++ b/tests/adapters/raw_connection.h
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <linux/filter.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -67,6 +68,16 @@
         close(std::exchange(fd_, -1));
     }
 
+    /// Drops every segment that arrives from now on, so that nothing is acknowledged any more, as
+    /// if the machine were cut off.
+    auto fall_silent() -> void
+    {
+        sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+        sock_fprog program{1, &drop_all};
+        BOOST_REQUIRE(setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) ==
+                      0);
+    }
+
     /// Appends the bytes that have arrived to `received`. Returns false when the peer has closed or
     /// reset the connection.
     auto receive() -> bool
@@ -91,7 +102,14 @@
 /// Accepts connections on which a test sends arbitrary bytes.
 class raw_listener {
 public:
-    raw_listener() : fd_{open_listener({"127.0.0.1", 0}).value()} {}
+    /// A `receive_buffer` over zero fixes the size of the kernel's receive buffers of accepted
+    /// connections, in bytes.
+    explicit raw_listener(int receive_buffer = 0) : fd_{open_listener({"127.0.0.1", 0}).value()}
+    {
+        if (receive_buffer > 0) {
+            limit_receive_buffer(fd_, receive_buffer);
+        }
+    }
     raw_listener(const raw_listener&) = delete;
     auto operator=(const raw_listener&) -> raw_listener& = delete;
     ~raw_listener() { close(fd_); }
--- a/tests/adapters/tcp_stream_test.cpp
+++ b/tests/adapters/tcp_stream_test.cpp
@@ -127,13 +127,11 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-/// A stream whose peer stops reading, with a time-out for unacknowledged bytes.
-struct closed_window_fixture : loop_fixture {
-    auto connect(std::chrono::milliseconds closed_window_timeout) -> void
+/// A stream with a time-out for unacknowledged bytes, and a peer that reads as the test tells.
+struct timed_stream_fixture : loop_fixture {
+    auto connect(const stream_options& options, int peer_receive_buffer = 0) -> void
     {
-        stream_options options;
-        options.unacknowledged_timeout = std::chrono::milliseconds{200};
-        options.closed_window_timeout = closed_window_timeout;
+        raw_listener listener{peer_receive_buffer};
         tcp_stream::connect(loop, listener.address(), options, std::chrono::seconds{1},
                             [this](std::unique_ptr<tcp_stream> made) { it = std::move(made); });
         run_until([&] { return it != nullptr; });
@@ -141,16 +139,24 @@
         tcp_stream::handlers receivers;
         receivers.on_end = [this](stream_end reason) { end = reason; };
         it->start(std::move(receivers));
-        it->write(std::string(size, 'x'));
     }
 
-    static constexpr std::size_t size = std::size_t{16} << 20U;
-    raw_listener listener;
     std::unique_ptr<tcp_stream> it;
     std::unique_ptr<raw_connection> peer;
     std::optional<stream_end> end;
 };
 
+struct closed_window_fixture : timed_stream_fixture {
+    auto connect_and_write(std::chrono::milliseconds closed_window_timeout) -> void
+    {
+        connect({.unacknowledged_timeout = std::chrono::milliseconds{200},
+                 .closed_window_timeout = closed_window_timeout});
+        it->write(std::string(size, 'x'));
+    }
+
+    static constexpr std::size_t size = std::size_t{16} << 20U;
+};
+
 BOOST_AUTO_TEST_SUITE(a_tcp_stream)
 
 BOOST_FIXTURE_TEST_SUITE(whose_peer_closes_its_window, closed_window_fixture)
@@ -159,7 +165,7 @@
 // stay silent.
 BOOST_AUTO_TEST_CASE(delivers_all_when_the_peer_reads_again)
 {
-    connect(std::chrono::seconds{20});
+    connect_and_write(std::chrono::seconds{20});
     run_for(std::chrono::milliseconds{1500});
     BOOST_TEST(!end.has_value());
     run_until([&] { return !peer->receive() || peer->received.size() == size; });
@@ -169,7 +175,113 @@
 // Guards against a peer that holds the unsent bytes for as long as it likes.
 BOOST_AUTO_TEST_CASE(fails_when_the_peer_never_reads_again)
 {
-    connect(std::chrono::milliseconds{600});
+    connect_and_write(std::chrono::milliseconds{600});
+    run_until([&] { return end.has_value(); });
+    BOOST_CHECK(*end == stream_end::failed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// Messages that the kernel takes at once, to a peer that pauses in the middle of some of them.
+struct repeated_pause_fixture : timed_stream_fixture {
+    /// Longer than the kernel waits before it probes a closed window.
+    static constexpr std::chrono::milliseconds pause{400};
+    static constexpr std::chrono::milliseconds unacknowledged_timeout{1000};
+    static constexpr std::size_t message_size = 30'000;
+
+    auto connect_to_slow_peer(std::chrono::milliseconds closed_window_timeout) -> void
+    {
+        connect({.unacknowledged_timeout = unacknowledged_timeout,
+                 .closed_window_timeout = closed_window_timeout},
+                4 * 1024);
+    }
+
+    /// Returns whether the whole message arrives after a pause in it.
+    auto delivers_message() -> bool
+    {
+        peer->received.clear();
+        it->write(std::string(message_size, 'x'));
+        run_for(pause);
+        run_until([&] { return !peer->receive() || peer->received.size() == message_size; });
+        return peer->received.size() == message_size;
+    }
+
+    /// Sends a message with a pause, and another one when the first pause began longer ago than the
+    /// time-out.
+    auto delivers_two_messages() -> bool
+    {
+        bool has_first = delivers_message();
+        run_for(unacknowledged_timeout);
+        return has_first && delivers_message();
+    }
+};
+
+// These cases guard against a peer whose pauses are counted together: each is shorter than the
+// time-out, but the second begins after the first one has become older than it. With
+// TCP_USER_TIMEOUT the kernel drops the connection at its first probe in the second pause.
+BOOST_FIXTURE_TEST_SUITE(whose_peer_pauses_repeatedly, repeated_pause_fixture)
+
+BOOST_AUTO_TEST_CASE(delivers_each_message_to_a_caller_or_a_server)
+{
+    connect_to_slow_peer(std::chrono::seconds{15});
+    BOOST_TEST(delivers_two_messages());
+    BOOST_TEST(!end.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(delivers_each_message_to_an_instance_or_the_store)
+{
+    connect_to_slow_peer(std::chrono::milliseconds{0});
+    BOOST_TEST(delivers_two_messages());
+    BOOST_TEST(!end.has_value());
+}
+
+// The kernel delivers the rest, with a time-out that must not start at the first pause.
+BOOST_AUTO_TEST_CASE(delivers_the_last_message_after_it_was_closed)
+{
+    connect_to_slow_peer(unacknowledged_timeout);
+    BOOST_REQUIRE(delivers_message());
+    run_for(unacknowledged_timeout);
+    peer->received.clear();
+    it->write(std::string(message_size, 'x'));
+    run_until([&] { return it->unsent_bytes() == 0; });
+    it->close();
+    run_for(pause);
+    run_until([&] { return !peer->receive(); });
+    BOOST_TEST(peer->received.size() == message_size);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// These cases guard against a peer that is gone and holds its connection for good.
+BOOST_FIXTURE_TEST_SUITE(whose_peer_falls_silent, timed_stream_fixture)
+
+BOOST_AUTO_TEST_CASE(fails_while_sent_bytes_are_unacknowledged)
+{
+    connect({.unacknowledged_timeout = std::chrono::milliseconds{600},
+             .closed_window_timeout = std::chrono::seconds{60}});
+    peer->fall_silent();
+    it->write("x");
+    run_until([&] { return end.has_value(); });
+    BOOST_CHECK(*end == stream_end::failed);
+}
+
+BOOST_AUTO_TEST_CASE(fails_while_its_window_is_closed)
+{
+    connect({.unacknowledged_timeout = std::chrono::milliseconds{600},
+             .closed_window_timeout = std::chrono::seconds{60}});
+    it->write(std::string(std::size_t{16} << 20U, 'x'));
+    run_for(std::chrono::milliseconds{500});
+    peer->fall_silent();
+    run_until([&] { return end.has_value(); });
+    BOOST_CHECK(*end == stream_end::failed);
+}
+
+// The stream waits for bytes of the peer and has sent all of its own.
+BOOST_AUTO_TEST_CASE(fails_while_nothing_is_left_to_send)
+{
+    connect({.unacknowledged_timeout = std::chrono::milliseconds{600},
+             .keepalive_idle = std::chrono::seconds{1}});
+    peer->fall_silent();
     run_until([&] { return end.has_value(); });
     BOOST_CHECK(*end == stream_end::failed);
 }
