Replace a server's promise that it did not state, whatever its length

Callers saw: a request that must run once ran, and its server answered 503 without the statement that it had not run it.

Cause: caller_exchange::on_end replaced 503, 429 and 408 by 502 only while nothing had been passed on. A response above 32 KiB, or above 4 KiB while memory is short, was passed on before that by on_head and on_body without a look at its status.

Change: the head decides. The caller gets 502 at once, the rest of the response is skipped within the limits of a rejection, and the line response-replaced has the server's status. This covers each way of passing a response on, since all begin with the head.

The same cause in cornelswitchd: the instance of the caller passed on 408, 421, 429 and 503 from the instance that dispatches for the server, of any length, and recorded ones. It responds 502 with the outcome unknown now, and its own refusals whose outcome is unknown no longer have such a status. In the gateway 421 counts as not run, and its own refusals are true.

Conclusion: no response reaches the caller of such a request with a promise that its server did not state.

--- a/daemon/entry_task.cpp
+++ b/daemon/entry_task.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry_task.h"
 
+#include "adapters/response_status.h"
 #include "daemon/entry_mapping.h"
 #include "routing/request_classifier.h"
 
@@ -336,6 +337,10 @@
             canceled->peer->cancel(canceled->call);
         }
     }
+    if (promises_no_execution(head.status) && !it->idempotent) {
+        replace_response(it, attempt, head.status);
+        return;
+    }
     it->selected = attempt;
     if (it->resuming) {
         on_resumed_head(it, head);
@@ -344,6 +349,21 @@
     }
 }
 
+auto entry_task::replace_response(const request_ptr& it, const attempt_ptr& attempt, int status)
+    -> void
+{
+    refusal_answer answer;
+    answer.status = 502;
+    answer.name = "server-error";
+    answer.message = "backend server answered " + std::to_string(status) +
+                     " without stating that the request did not run";
+    answer.outcome = request_outcome::unknown;
+    answer.step = "read-response";
+    answer.peer = attempt->sent.server.value();
+    log_.log(log_level::warning, answer.step, answer.peer, answer.message);
+    refuse(it, std::move(answer));
+}
+
 auto entry_task::start_response(const request_ptr& it, const attempt_ptr& attempt,
                                 response_head head) -> void
 {
--- a/daemon/entry_task.h
+++ b/daemon/entry_task.h
@@ -96,6 +96,9 @@
     /// resumed.
     auto resume(const request_ptr& it) -> bool;
     auto on_resumed_head(const request_ptr& it, const response_head& head) -> void;
+    /// Refuses a request whose server answered with a status that promises that the request was not
+    /// executed. A server that did not execute it would have refused it.
+    auto replace_response(const request_ptr& it, const attempt_ptr& attempt, int status) -> void;
     auto start_response(const request_ptr& it, const attempt_ptr& attempt, response_head head)
         -> void;
     auto abort_response(const request_ptr& it) -> void;
--- a/daemon/peer_protocol.cpp
+++ b/daemon/peer_protocol.cpp
@@ -1,5 +1,7 @@
 #include "daemon/peer_protocol.h"
 
+#include "adapters/response_status.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -139,7 +141,9 @@
 auto send_refusal(exchange& request, const refusal_answer& it) -> void
 {
     response_head head;
-    head.status = it.status;
+    bool is_broken_promise =
+        it.outcome == request_outcome::unknown && promises_no_execution(it.status);
+    head.status = is_broken_promise ? 502 : it.status;
     auto& headers = head.headers;
     headers.push_back({"content-type", "application/json"});
     headers.push_back({"cornelswitch-refusal", it.name});
--- a/daemon/peer_protocol.h
+++ b/daemon/peer_protocol.h
@@ -60,7 +60,8 @@
 auto status_of(refusal_reason reason) -> int;
 auto make_refusal(const refusal& it, std::string step, std::string peer) -> refusal_answer;
 
-/// Sends the refusal, with `cornelswitch-outcome`, `retry-after` and a JSON body.
+/// Sends the refusal, with `cornelswitch-outcome`, `retry-after` and a JSON body. A status that
+/// promises that the request was not executed becomes 502 when the outcome is unknown.
 auto send_refusal(exchange& request, const refusal_answer& it) -> void;
 
 /// Parses the headers of a refusal; none when the response is not a refusal. `message`, `step` and
--- a/gateway/caller_exchange.h
+++ b/gateway/caller_exchange.h
@@ -130,6 +130,9 @@
     auto note_rate_limit(const server_response_info& info) -> void;
     auto on_body(std::string_view bytes) -> void;
     auto on_end() -> void;
+    /// Responds in place of a server whose status promises that the request was not executed
+    /// although the server did not state that.
+    auto replace_response() -> void;
     auto on_failure(attempt_outcome outcome, bool was_reused, std::string_view cause) -> void;
     auto on_not_run() -> void;
     auto on_timeout() -> void;
--- a/gateway/caller_exchange_response.cpp
+++ b/gateway/caller_exchange_response.cpp
@@ -1,5 +1,7 @@
 #include "gateway/caller_exchange.h"
 
+#include "adapters/response_status.h"
+
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -51,12 +53,28 @@
         return;
     }
     note_rate_limit(info);
+    if (promises_no_execution(response_.status) && !is_idempotent()) {
+        replace_response();
+        return;
+    }
     phase_ = phase::responding;
     if (response_.framing == body_framing::length && response_.length > max_buffered_response) {
         stream_response();
     }
 }
 
+auto caller_exchange::replace_response() -> void
+{
+    services_.log.request_line("response-replaced")
+        .text("id", info_.id)
+        .text("server", server_.value())
+        .number("status", response_.status)
+        .text("cause", "server did not state that the request was not executed");
+    report(attempt_outcome::answered);
+    attempt_->discard_response();
+    respond(502, "server-error", std::nullopt);
+}
+
 auto caller_exchange::note_rate_limit(const server_response_info& info) -> void
 {
     if (info.has_malformed_rate_limit) {
@@ -141,14 +159,6 @@
         return;
     }
     report(attempt_outcome::answered);
-    bool is_retryable_status =
-        response_.status == 503 || response_.status == 429 || response_.status == 408;
-    if (!is_committed_ && is_retryable_status && !is_idempotent()) {
-        // Callers take these statuses as proof that the request did not run, but the server did not
-        // state that.
-        respond(502, "server-error", std::nullopt);
-        return;
-    }
     if (!is_committed_) {
         // The response is complete, so its length is known and no chunked encoding is needed.
         if (response_.framing != body_framing::none) {
--- a/gateway/server_pool.cpp
+++ b/gateway/server_pool.cpp
@@ -26,7 +26,7 @@
         handlers.on_head = [this](http1_head head) { on_head(std::move(head)); };
         handlers.on_body = [this](std::string_view bytes) {
             skipped_bytes_ += is_stray_ ? bytes.size() : 0;
-            rejection_bytes_ += is_rejection_ ? bytes.size() : 0;
+            discarded_bytes_ += is_discarding_ ? bytes.size() : 0;
             if (is_active_ && !is_stray_ && handlers_.on_body) {
                 auto handler = handlers_.on_body;
                 handler(bytes);
@@ -57,9 +57,9 @@
         is_active_ = true;
         has_response_bytes_ = false;
         is_stray_ = false;
-        is_rejection_ = false;
+        is_discarding_ = false;
         skipped_bytes_ = 0;
-        rejection_bytes_ = 0;
+        discarded_bytes_ = 0;
         is_message_complete_ = false;
         next_block_ = 0;
         is_reading_ = true;
@@ -88,6 +88,13 @@
         }
     }
 
+    auto discard_response() -> void override
+    {
+        handlers_ = {};
+        is_discarding_ = true;
+        set_reading(true);
+    }
+
     auto close() -> void
     {
         is_closed_ = true;
@@ -197,7 +204,7 @@
             return;
         }
         if (info.is_not_run) {
-            is_rejection_ = true;
+            is_discarding_ = true;
             rejected_ids_.push_back(request_.request_id);
             keeps_alive_ = keeps_alive_ && rejected_ids_.size() < max_rejections;
         }
@@ -229,7 +236,7 @@
             if (!std::exchange(is_message_complete_, false)) {
                 if (skipped_bytes_ > pool_.options_.max_skipped_bytes) {
                     fail(attempt_outcome::broken, "too many bytes in responses to other requests");
-                } else if (rejection_bytes_ > pool_.options_.max_rejection_bytes) {
+                } else if (discarded_bytes_ > pool_.options_.max_discarded_bytes) {
                     finish(false);
                 }
                 continue;
@@ -246,18 +253,18 @@
             finish(bytes.empty() && keeps_alive_);
             return;
         }
-        if (is_active_ && !is_closed_ && is_rejection_ && timer_ == 0) {
+        if (is_active_ && !is_closed_ && is_discarding_ && timer_ == 0) {
             timer_ =
-                pool_.loop_.schedule(pool_.options_.rejection_timeout, [weak = weak_from_this()] {
+                pool_.loop_.schedule(pool_.options_.discard_timeout, [weak = weak_from_this()] {
                     if (auto self = weak.lock()) {
                         self->timer_ = 0;
-                        self->on_rejection_timeout();
+                        self->on_discard_timeout();
                     }
                 });
         }
     }
 
-    auto on_rejection_timeout() -> void
+    auto on_discard_timeout() -> void
     {
         if (*alive_ && is_active_ && !is_closed_) {
             finish(false);
@@ -338,9 +345,9 @@
     bool is_reused_{false};
     bool has_response_bytes_{false};
     bool is_stray_{false};
-    bool is_rejection_{false};
+    bool is_discarding_{false};
     std::size_t skipped_bytes_{0};
-    std::size_t rejection_bytes_{0};
+    std::size_t discarded_bytes_{0};
     event_loop::timer_id timer_{0};
     bool is_message_complete_{false};
     bool keeps_alive_{false};
--- a/gateway/server_pool.h
+++ b/gateway/server_pool.h
@@ -55,6 +55,9 @@
     virtual auto cancel() -> void = 0;
     /// Stops or resumes reading the response.
     virtual auto set_reading(bool enabled) -> void = 0;
+    /// Skips the rest of the response, of which the head has arrived. No handler is called
+    /// afterwards.
+    virtual auto discard_response() -> void = 0;
 };
 
 /// Pool of HTTP/1.1 connections to backend servers. Each connection carries one request at a time.
@@ -71,10 +74,10 @@
         duration max_idle{std::chrono::milliseconds{8500}};
         /// Most body bytes of responses to other requests that are skipped during one request.
         std::size_t max_skipped_bytes{256 * 1024};
-        /// Limits for the body of a response that rejects the request. The head alone decides, so
-        /// the connection is closed when the body exceeds them.
-        std::size_t max_rejection_bytes{64 * 1024};
-        duration rejection_timeout{std::chrono::milliseconds{100}};
+        /// Limits for the body of a response of which only the head is used. The connection is
+        /// closed when the body exceeds them.
+        std::size_t max_discarded_bytes{64 * 1024};
+        duration discard_timeout{std::chrono::milliseconds{100}};
         /// A connection fails early when its server is gone, but not while the server pauses in a
         /// request body that it reads; then the request's deadline ends the attempt. The receive
         /// buffer bounds what the kernel holds for a response that is not read.
--- a/tests/adapters/response_status_test.cpp
+++ b/tests/adapters/response_status_test.cpp
@@ -1,5 +1,6 @@
 #include "adapters/h2o/response_parser.h"
 #include "adapters/http1/message_parser.h"
+#include "adapters/response_status.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -67,6 +68,17 @@
     }
 }
 
+// Guards against a status that is passed on as proof although callers repeat requests after it.
+BOOST_AUTO_TEST_CASE(promises_that_the_request_was_not_executed)
+{
+    for (int status : {408, 421, 429, 503}) {
+        BOOST_TEST(promises_no_execution(status), status);
+    }
+    for (int status : {200, 400, 404, 409, 500, 502, 504}) {
+        BOOST_TEST(!promises_no_execution(status), status);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/daemon/forwarding_test.cpp
+++ b/tests/daemon/forwarding_test.cpp
@@ -1,5 +1,7 @@
 #include "adapters/nghttp2/peer_client.h"
+#include "adapters/response_status.h"
 #include "tests/daemon/data_plane_fixture.h"
+#include "tests/standins/fake_exchange.h"
 
 using namespace cornelswitch;
 using namespace cornelswitch::test;
@@ -111,6 +113,72 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_server_answers_as_if_it_had_not_run)
+
+// Guards against a second run: a server runs a request and answers with a status that promises that
+// it did not, the other instance passes that on, and the caller sends the request again.
+BOOST_FIXTURE_TEST_CASE(gets_502_in_place_of_the_promise, data_plane_fixture)
+{
+    for (std::size_t size : {2UL, 100'000UL}) {
+        for (int status : {408, 421, 429, 503}) {
+            backend = [&](const auto& it) {
+                it->respond({status, {}, {}}, std::string(size, 'x'));
+            };
+            auto record = fetch({"POST", "/lookup/a", {}, "x"});
+            BOOST_TEST(record->head->status == 502, status << " with " << size << " bytes");
+            BOOST_TEST(header(*record, "cornelswitch-outcome") == "unknown");
+            BOOST_TEST(header(*record, "cornelswitch-refusal") == "server-error");
+        }
+    }
+    BOOST_TEST(backend_requests.size() == 8U);
+    backend = [](const auto& it) { it->respond({200, {}, {}}, "sound"); };
+    BOOST_TEST(fetch({"POST", "/lookup/a", {}, "x"})->body == "sound");
+}
+
+// The same for the repetition of a recorded response.
+BOOST_FIXTURE_TEST_CASE(gets_no_promise_from_the_record_of_its_first_run, data_plane_fixture)
+{
+    make_assignment("pay", false);
+    assignment.acquired_at = time.now() - std::chrono::minutes{2};
+    publish();
+    backend = [](const auto& it) { it->respond({503, {}, {}}, "failed"); };
+    http_request request{"POST", "/pay/a", {{"idempotency-key", "k"}}, "x"};
+    BOOST_TEST(fetch(request)->head->status == 502);
+    BOOST_TEST(!promises_no_execution(fetch(request)->head->status));
+    BOOST_TEST(backend_requests.size() == 1U);
+}
+
+// Guards against a check that also replaces what may be passed on.
+BOOST_FIXTURE_TEST_CASE(gets_every_other_response_unchanged, data_plane_fixture)
+{
+    for (int status : {200, 400, 409, 500, 502, 504}) {
+        backend = [&](const auto& it) { it->respond({status, {}, {}}, "answer"); };
+        auto record = fetch({"POST", "/lookup/a", {}, "x"});
+        BOOST_TEST(record->head->status == status);
+        BOOST_TEST(record->body == "answer");
+    }
+    backend = [](const auto& it) { it->respond({503, {}, {}}, "answer"); };
+    BOOST_TEST(fetch({"GET", "/lookup/a", {}, {}})->body == "answer");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_a_refusal_whose_outcome_is_unknown)
+
+// Guards against a refusal of the instance itself that promises more than it knows.
+BOOST_AUTO_TEST_CASE(gets_no_status_that_promises_that_it_did_not_run)
+{
+    for (auto outcome : {request_outcome::unknown, request_outcome::not_run}) {
+        refusal_answer answer;
+        answer.outcome = outcome;
+        fake_exchange caller{"POST", "/pay/a"};
+        send_refusal(caller, answer);
+        BOOST_TEST(caller.head.status == (outcome == request_outcome::not_run ? 503 : 502));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(with_an_idempotency_key)
 
 // Guards against a second run of a request with the same key, and against a run although an earlier
