--- a/adapters/h2o/delivery_monitor.cpp
+++ b/adapters/h2o/delivery_monitor.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Checks within `timeouts::unacknowledged`. The end of a peer is noticed at most one check late.
+/// Checks within `timeouts::unacknowledged`. The loss of a peer is noticed at most one check late.
 constexpr int checks_per_timeout = 4;
 
 auto check_interval(const delivery_monitor::timeouts& limits) -> std::chrono::milliseconds
